--- /dev/null
+++ b/libs/app/src/banyandale/__init__.py
@@ -0,0 +1,1 @@
+"""The banyandale program: command line, settings and wiring."""
--- /dev/null
+++ b/libs/claims/src/banyandale_claims/__init__.py
@@ -0,0 +1,1 @@
+"""Idempotency-key claims with group commit."""
--- /dev/null
+++ b/libs/config/src/banyandale_config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration document, publication and distribution."""
--- /dev/null
+++ b/libs/console/src/banyandale_console/__init__.py
@@ -0,0 +1,1 @@
+"""HTML forms that edit the configuration document."""
--- /dev/null
+++ b/libs/core/src/banyandale_core/__init__.py
@@ -0,0 +1,27 @@
+"""Errors with codes, clocks and metrics shared by all banyandale libraries."""
+
+from banyandale_core._clocks import Clock
+from banyandale_core._clocks import deadline_from_unix_ms
+from banyandale_core._clocks import deadline_to_unix_ms
+from banyandale_core._clocks import MILLISECONDS_PER_SECOND
+from banyandale_core._clocks import SystemClock
+from banyandale_core._errors import CodedError
+from banyandale_core._errors import RunMark
+from banyandale_core._metrics import MemoryMetrics
+from banyandale_core._metrics import Metrics
+from banyandale_core._metrics import StatsdMetrics
+from banyandale_core._timeouts import timeout_at
+
+__all__ = [
+    "MILLISECONDS_PER_SECOND",
+    "Clock",
+    "CodedError",
+    "MemoryMetrics",
+    "Metrics",
+    "RunMark",
+    "StatsdMetrics",
+    "SystemClock",
+    "deadline_from_unix_ms",
+    "deadline_to_unix_ms",
+    "timeout_at",
+]
--- /dev/null
+++ b/libs/core/src/banyandale_core/_timeouts.py
@@ -0,0 +1,16 @@
+"""Timeouts in terms of absolute deadlines."""
+
+import time
+
+import curio
+
+
+def timeout_at(deadline: float) -> object:
+    """Returns a context manager that times out at a monotonic deadline.
+
+    Curio 1.6 only offers relative timeouts.
+
+    Args:
+        deadline: Seconds of `time.monotonic()`.
+    """
+    return curio.timeout_after(max(deadline - time.monotonic(), 0.0))
--- /dev/null
+++ b/libs/dispatch/src/banyandale_dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Load dispatch: slots, cold start, queue and policies."""
--- /dev/null
+++ b/libs/gateway/src/banyandale_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: address lookup, routing, retries, membership."""
--- /dev/null
+++ b/libs/http/src/banyandale_http/_client.py
@@ -0,0 +1,262 @@
+"""Client side of one HTTP/1.1 connection."""
+
+import time
+from typing import Self
+
+import curio
+import curio.io
+import h11
+
+import banyandale_core as core
+from banyandale_http import _errors as errors
+from banyandale_http import _messages as messages
+from banyandale_http import _sockets as sockets
+
+RECEIVE_BYTES = 65536
+MAX_HEAD_BYTES = 65536
+
+
+class ClientConnection:
+    """One connection that carries one exchange at a time.
+
+    The steps of an exchange are `send_request`, `read_head` and `read_chunk`
+    until it returns b"". The connection can be used again only while
+    `is_reusable` is true.
+
+    Attributes:
+        sent: Whether a byte of the current request was given to the socket.
+        proved_at: Monotonic seconds when the connection last carried a
+            complete response, or was opened.
+    """
+
+    def __init__(self, *, sock: curio.io.Socket, address: str) -> None:
+        self._sock = sock
+        self._address = address
+        self._http = h11.Connection(
+            our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._open = True
+        self._method = b""
+        self.sent = False
+        self.proved_at = time.monotonic()
+
+    @classmethod
+    async def open(
+        cls, *, address: str, source: str | None = None, deadline: float
+    ) -> Self:
+        """Opens a connection to `address` (`ip:port`).
+
+        Args:
+            address: Destination.
+            source: Local IP number, or None for the system's choice.
+            deadline: Monotonic seconds.
+
+        Raises:
+            ConnectError: Refused, reset, or not open at the deadline.
+        """
+        try:
+            sock = await sockets.open_socket(
+                address=address, source=source, deadline=deadline
+            )
+        except OSError as error:
+            raise errors.ConnectError(f"{address}: {error}") from error
+        except curio.TaskTimeout as error:
+            raise errors.ConnectError(f"{address}: timed out") from error
+        return cls(sock=sock, address=address)
+
+    @property
+    def address(self) -> str:
+        """The destination as `ip:port`."""
+        return self._address
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another request may be sent.
+
+        False after an incomplete response, after stray bytes behind a
+        response, and once the other side has closed the connection.
+        """
+        return (
+            self._open
+            and self._http.our_state is h11.IDLE
+            and self._http.their_state is h11.IDLE
+            and not self._http.trailing_data[0]
+            and sockets.peek(self._sock) is None
+        )
+
+    async def send_request(
+        self, request: messages.Request, *, deadline: float
+    ) -> None:
+        """Sends one request.
+
+        Raises:
+            SendError: The connection failed. Its mark is NOT_RUN only when
+                no byte was given to the socket.
+        """
+        self.sent = False
+        self._method = request.method
+        headers = [
+            *request.headers,
+            (b"content-length", str(len(request.body)).encode()),
+        ]
+        if request.header(b"host") is None:
+            headers.insert(0, (b"host", self._address.encode()))
+        head = h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+        data = self._http.send(head) or b""
+        if request.body:
+            data += self._http.send(h11.Data(data=request.body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        try:
+            async with core.timeout_at(deadline):
+                await self._send_all(data)
+        except (OSError, curio.TaskTimeout) as error:
+            raise errors.SendError(
+                f"{self._address}: {error!r}", run=self._run_mark()
+            ) from error
+
+    async def _send_all(self, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            count = await self._sock.send(view)
+            self.sent = True
+            view = view[count:]
+
+    async def read_head(self, *, deadline: float) -> messages.ResponseHead:
+        """Reads status and headers; skips informational responses.
+
+        Raises:
+            ResponseTimeoutError: Nothing complete came before the deadline.
+            TruncatedResponseError: The connection ended.
+            MalformedResponseError: Not HTTP, or no length and no chunks, so
+                that a truncated body could not be told from a whole one.
+        """
+        event = await self._next_event(deadline)
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next_event(deadline)
+        if not isinstance(event, h11.Response):
+            raise errors.TruncatedResponseError(
+                f"{self._address}: connection ended before the response",
+                run=self._run_mark(),
+            )
+        length = messages.find_header(event.headers, b"content-length")
+        head = messages.ResponseHead(
+            status=event.status_code,
+            headers=messages.strip_connection_headers(event.headers),
+            length=None if length is None else int(length),
+        )
+        if self._is_unframed(event):
+            raise errors.MalformedResponseError(
+                f"{self._address}: response has neither length nor chunks",
+                run=core.RunMark.UNKNOWN,
+            )
+        return head
+
+    def _is_unframed(self, response: h11.Response) -> bool:
+        names = {name for name, _ in response.headers}
+        if b"content-length" in names or b"transfer-encoding" in names:
+            return False
+        bodiless = response.status_code in messages.BODILESS_STATUSES
+        return not bodiless and self._method != b"HEAD"
+
+    async def read_chunk(self, *, deadline: float) -> bytes:
+        """Reads the next piece of the body; b"" once it is complete.
+
+        Raises:
+            ResponseTimeoutError: Nothing came before the deadline.
+            TruncatedResponseError: The connection ended within the body.
+            MalformedResponseError: The body is not valid HTTP.
+        """
+        event = await self._next_event(deadline)
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        self._finish()
+        return b""
+
+    def _finish(self) -> None:
+        if self._http.trailing_data[0]:
+            self._open = False
+            return
+        if self._http.our_state is h11.DONE and (
+            self._http.their_state is h11.DONE
+        ):
+            self._http.start_next_cycle()
+            self.proved_at = time.monotonic()
+
+    async def read_body(self, *, limit: int, deadline: float) -> bytes:
+        """Reads the rest of the body.
+
+        Raises:
+            ResponseTooLargeError: The body is longer than `limit` bytes.
+            HttpError: As for `read_chunk`.
+        """
+        chunks = []
+        size = 0
+        while chunk := await self.read_chunk(deadline=deadline):
+            size += len(chunk)
+            if size > limit:
+                raise errors.ResponseTooLargeError(
+                    f"{self._address}: response is over {limit} bytes",
+                    run=core.RunMark.UNKNOWN,
+                )
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+    async def exchange(
+        self, request: messages.Request, *, limit: int, deadline: float
+    ) -> messages.Response:
+        """Sends a request and reads its whole response.
+
+        Args:
+            request: The request.
+            limit: Largest body in bytes.
+            deadline: Monotonic seconds for the whole exchange.
+        """
+        await self.send_request(request, deadline=deadline)
+        head = await self.read_head(deadline=deadline)
+        body = await self.read_body(limit=limit, deadline=deadline)
+        return messages.Response(
+            status=head.status, headers=head.headers, body=body
+        )
+
+    async def _next_event(self, deadline: float) -> h11.Event:
+        try:
+            while True:
+                event = self._http.next_event()
+                if event is h11.NEED_DATA:
+                    async with core.timeout_at(deadline):
+                        data = await self._sock.recv(RECEIVE_BYTES)
+                    self._http.receive_data(data)
+                    continue
+                return event
+        except curio.TaskTimeout as error:
+            self._open = False
+            raise errors.ResponseTimeoutError(
+                f"{self._address}: no response in time", run=self._run_mark()
+            ) from error
+        except OSError as error:
+            self._open = False
+            raise errors.TruncatedResponseError(
+                f"{self._address}: {error}", run=self._run_mark()
+            ) from error
+        except h11.RemoteProtocolError as error:
+            self._open = False
+            raise self._describe(error) from error
+
+    def _describe(self, error: h11.RemoteProtocolError) -> errors.HttpError:
+        if self._http.trailing_data[1]:
+            return errors.TruncatedResponseError(
+                f"{self._address}: {error}", run=self._run_mark()
+            )
+        return errors.MalformedResponseError(
+            f"{self._address}: {error}", run=core.RunMark.UNKNOWN
+        )
+
+    def _run_mark(self) -> core.RunMark:
+        return core.RunMark.UNKNOWN if self.sent else core.RunMark.NOT_RUN
+
+    async def close(self) -> None:
+        """Closes the connection, which also cancels a request in flight."""
+        self._open = False
+        await self._sock.close()
--- /dev/null
+++ b/libs/http/src/banyandale_http/_pool.py
@@ -0,0 +1,66 @@
+"""Pool of client connections to one server."""
+
+import collections
+import time
+
+from banyandale_http import _client as client
+
+# An idle connection this old is replaced; the other side may have closed it.
+MAX_IDLE_SECONDS = 30.0
+# A request that must not run twice goes only on a connection that carried a
+# complete response this recently; an older one may be silent.
+PROVED_SECONDS = 1.0
+
+
+class Pool:
+    """Keeps connections to one server for reuse, the newest first."""
+
+    def __init__(
+        self, *, address: str, limit: int, source: str | None = None
+    ) -> None:
+        self._address = address
+        self._limit = limit
+        self._source = source
+        self._idle: collections.deque[client.ClientConnection] = (
+            collections.deque()
+        )
+
+    async def acquire(
+        self, *, deadline: float, proved: bool = False
+    ) -> client.ClientConnection:
+        """Takes an idle connection or opens one.
+
+        Args:
+            deadline: Monotonic seconds for opening.
+            proved: Take only a connection that was proved within the last
+                second, else a fresh one.
+
+        Raises:
+            ConnectError: No connection could be opened.
+        """
+        now = time.monotonic()
+        oldest = now - (PROVED_SECONDS if proved else MAX_IDLE_SECONDS)
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.proved_at >= oldest and connection.is_reusable:
+                return connection
+            await connection.close()
+        return await client.ClientConnection.open(
+            address=self._address, source=self._source, deadline=deadline
+        )
+
+    async def release(self, connection: client.ClientConnection) -> None:
+        """Puts a connection back, or closes it when it cannot be reused."""
+        if connection.is_reusable and len(self._idle) < self._limit:
+            self._idle.append(connection)
+        else:
+            await connection.close()
+
+    def has_lost_connections(self) -> bool:
+        """Whether the other side closed an idle connection."""
+        return any(not connection.is_reusable for connection in self._idle)
+
+    async def clear(self) -> None:
+        """Closes all idle connections."""
+        while self._idle:
+            await self._idle.pop().close()
--- /dev/null
+++ b/libs/http/src/banyandale_http/_server.py
@@ -0,0 +1,172 @@
+"""Server side of one HTTP/1.1 connection."""
+
+import socket
+import struct
+
+import curio
+import curio.io
+import h11
+
+import banyandale_core as core
+from banyandale_http import _errors as errors
+from banyandale_http import _messages as messages
+from banyandale_http import _sockets as sockets
+
+RECEIVE_BYTES = 65536
+MAX_HEAD_BYTES = 65536
+
+
+class ServerConnection:
+    """One connection of a caller: reads requests, sends responses."""
+
+    def __init__(self, *, sock: curio.io.Socket) -> None:
+        sockets.set_options(sock)
+        self._sock = sock
+        self._http = h11.Connection(
+            our_role=h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._closing = False
+
+    async def read_request(
+        self, *, limit: int, idle_deadline: float
+    ) -> messages.Request | None:
+        """Reads the next request.
+
+        Args:
+            limit: Largest body in bytes.
+            idle_deadline: Monotonic seconds by which the whole request must
+                have arrived.
+
+        Returns:
+            The request, or None when the caller closed the connection or
+            sent nothing in time.
+
+        Raises:
+            MalformedRequestError: The request breaks HTTP.
+            RequestTooLargeError: The body is longer than `limit`.
+        """
+        if self._http.our_state is h11.DONE:
+            self._http.start_next_cycle()
+        try:
+            async with core.timeout_at(idle_deadline):
+                return await self._read_request(limit)
+        except (OSError, curio.TaskTimeout):
+            return None
+        except h11.RemoteProtocolError as error:
+            raise errors.MalformedRequestError(
+                str(error), status=error.error_status_hint
+            ) from error
+
+    async def _read_request(self, limit: int) -> messages.Request | None:
+        head = await self._next_event()
+        if not isinstance(head, h11.Request):
+            return None
+        chunks = []
+        size = 0
+        if self._http.they_are_waiting_for_100_continue:
+            await self._send(
+                h11.InformationalResponse(status_code=100, headers=[])
+            )
+        while isinstance(event := await self._next_event(), h11.Data):
+            size += len(event.data)
+            if size > limit:
+                raise errors.RequestTooLargeError(
+                    f"request body is over {limit} bytes"
+                )
+            chunks.append(bytes(event.data))
+        return messages.Request(
+            method=head.method,
+            target=head.target,
+            headers=messages.strip_connection_headers(head.headers),
+            body=b"".join(chunks),
+        )
+
+    async def _next_event(self) -> h11.Event:
+        while (event := self._http.next_event()) is h11.NEED_DATA:
+            self._http.receive_data(await self._sock.recv(RECEIVE_BYTES))
+        return event
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another request may follow on this connection."""
+        return not self._closing and self._http.our_state in (
+            h11.IDLE,
+            h11.DONE,
+        )
+
+    def close_after_response(self) -> None:
+        """Announces `Connection: close` with the next response."""
+        self._closing = True
+
+    def caller_left(self) -> bool:
+        """Whether the caller has closed its connection. Does not wait."""
+        return sockets.peek(self._sock) == b""
+
+    async def send_response(self, response: messages.Response) -> None:
+        """Sends a complete response.
+
+        Raises:
+            CallerGoneError: The connection failed.
+        """
+        headers = list(messages.strip_connection_headers(response.headers))
+        if response.status not in messages.BODILESS_STATUSES:
+            length = str(len(response.body)).encode()
+            headers.append((b"content-length", length))
+        data = self._encode_head(response.status, headers)
+        if response.body:
+            data += self._http.send(h11.Data(data=response.body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        await self._send_bytes(data)
+
+    async def start_response(self, head: messages.ResponseHead) -> None:
+        """Sends the head of a streamed response.
+
+        The length is kept where it is known, since a caller that speaks
+        HTTP/1.0 has no other way to notice a truncated body.
+        """
+        framing = (b"transfer-encoding", b"chunked")
+        if head.length is not None:
+            framing = (b"content-length", str(head.length).encode())
+        headers = [*messages.strip_connection_headers(head.headers), framing]
+        await self._send_bytes(self._encode_head(head.status, headers))
+
+    async def send_chunk(self, data: bytes) -> None:
+        """Sends a piece of a streamed response."""
+        await self._send(h11.Data(data=data))
+
+    async def end_response(self) -> None:
+        """Ends a streamed response."""
+        await self._send(h11.EndOfMessage())
+
+    def _encode_head(
+        self, status: int, headers: list[tuple[bytes, bytes]]
+    ) -> bytes:
+        if self._closing or self._http.our_state is h11.IDLE:
+            headers = [*headers, (b"connection", b"close")]
+        event = h11.Response(status_code=status, headers=headers)
+        return self._http.send(event) or b""
+
+    async def _send(self, event: h11.Event) -> None:
+        await self._send_bytes(self._http.send(event) or b"")
+
+    async def _send_bytes(self, data: bytes) -> None:
+        try:
+            await self._sock.sendall(data)
+        except OSError as error:
+            raise errors.CallerGoneError(
+                str(error), run=core.RunMark.UNKNOWN
+            ) from error
+
+    async def abort(self) -> None:
+        """Resets the connection, so that a partial response is an error.
+
+        A plain close would look like the end of the body to a caller that
+        speaks HTTP/1.0.
+        """
+        linger = struct.pack("ii", 1, 0)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        await self._sock.close()
+
+    async def close(self) -> None:
+        """Closes the connection."""
+        await self._sock.close()
--- /dev/null
+++ b/libs/http/src/banyandale_http/_sockets.py
@@ -0,0 +1,93 @@
+"""TCP sockets with the options that all connections use."""
+
+import socket
+
+import curio
+import curio.socket
+
+import banyandale_core as core
+
+# Unacknowledged data for longer than this closes the connection. It bounds
+# how long a connection whose other end vanished can look open.
+TCP_USER_TIMEOUT_MS = 10_000
+LISTEN_BACKLOG = 1024
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Splits `ip:port`.
+
+    Raises:
+        ValueError: The text is not of that form.
+    """
+    host, separator, port = address.rpartition(":")
+    if not separator or not host or not port.isdigit():
+        raise ValueError(f"address {address!r} is not of the form ip:port")
+    return host.strip("[]"), int(port)
+
+
+def set_options(sock: curio.io.Socket) -> None:
+    """Sets the options of a connected socket."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+    )
+
+
+async def open_socket(
+    *, address: str, source: str | None, deadline: float
+) -> curio.io.Socket:
+    """Opens a TCP connection.
+
+    Args:
+        address: Destination as `ip:port`.
+        source: Local IP number, or None for the system's choice.
+        deadline: Monotonic seconds.
+
+    Raises:
+        OSError: The connection was refused or reset.
+        curio.TaskTimeout: The deadline passed.
+    """
+    host, port = parse_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = curio.socket.socket(family, socket.SOCK_STREAM)
+    try:
+        if source is not None:
+            # Delays the choice of the port until connect, so that ports can
+            # be shared by connections to different destinations.
+            sock.setsockopt(
+                socket.IPPROTO_IP, socket.IP_BIND_ADDRESS_NO_PORT, 1
+            )
+            sock.bind((source, 0))
+        async with core.timeout_at(deadline):
+            await sock.connect((host, port))
+        set_options(sock)
+    except BaseException:
+        await sock.close()
+        raise
+    return sock
+
+
+def open_listener(address: str) -> curio.io.Socket:
+    """Opens a listening socket on `ip:port`."""
+    host, port = parse_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = curio.socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, port))
+    sock.listen(LISTEN_BACKLOG)
+    return sock
+
+
+def peek(sock: curio.io.Socket) -> bytes | None:
+    """Returns one waiting byte without taking it.
+
+    Returns:
+        None when nothing waits, b"" when the other side closed or reset the
+        connection, else the byte.
+    """
+    try:
+        return sock._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except (BlockingIOError, InterruptedError):
+        return None
+    except OSError:
+        return b""
--- /dev/null
+++ b/libs/http/tests/test_connections.py
@@ -0,0 +1,104 @@
+"""Tests that exchanges are whole and connections are reused safely."""
+
+import time
+
+import curio
+import curio.socket
+import pytest
+
+import banyandale_core as core
+import banyandale_http as http
+
+
+async def start_raw_server(replies):
+    """Answers each received piece of data with the next raw reply.
+
+    A reply of None closes the connection at once.
+    """
+    listener = http.open_listener("127.0.0.1:0")
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+
+    async def serve():
+        sock, _ = await listener.accept()
+        for reply in replies:
+            if reply is None or not await sock.recv(65536):
+                break
+            await sock.sendall(reply)
+        await sock.close()
+        await listener.close()
+
+    await curio.spawn(serve, daemon=True)
+    return address
+
+
+def run_exchanges(replies, count=1):
+    """Sends `count` GET requests on one connection; returns the bodies."""
+
+    async def main():
+        address = await start_raw_server(replies)
+        deadline = time.monotonic() + 2
+        connection = await http.ClientConnection.open(
+            address=address, deadline=deadline
+        )
+        request = http.Request(method=b"GET", target=b"/")
+        bodies = []
+        for _ in range(count):
+            response = await connection.exchange(
+                request, limit=1000, deadline=deadline
+            )
+            bodies.append(response.body)
+        await curio.sleep(0.02)
+        reusable = connection.is_reusable
+        await connection.close()
+        return bodies, reusable
+
+    return curio.run(main)
+
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+
+
+def test_connection_is_reused_after_whole_response():
+    """Guards against a connection per request."""
+    bodies, _ = run_exchanges([WHOLE, WHOLE], count=2)
+    assert bodies == [b"hello", b"hello"]
+
+
+def test_stray_bytes_prevent_reuse():
+    """Guards against reading a doubled response as the next one's."""
+    _, reusable = run_exchanges([WHOLE + WHOLE])
+    assert not reusable
+
+
+@pytest.mark.parametrize(
+    ("reply", "error"),
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", "truncated"),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello",
+            "truncated",
+        ),
+        (b"HTTP/1.1 200 OK\r\n\r\nhello", "malformed"),
+        (b"no http\r\n\r\n", "malformed"),
+        (b"", "truncated"),
+    ],
+)
+def test_incomplete_response_is_an_error(reply, error):
+    """Guards against passing on a truncated response as a whole one."""
+    with pytest.raises(http.HttpError) as caught:
+        run_exchanges([reply, None])
+    assert caught.value.code == f"{error}_response"
+    assert caught.value.run is core.RunMark.UNKNOWN
+
+
+def test_refused_connection_is_marked_not_run():
+    """Guards against a wrong run mark when nothing was sent."""
+
+    async def main():
+        await http.ClientConnection.open(
+            address="127.0.0.1:1", deadline=time.monotonic() + 1
+        )
+
+    with pytest.raises(http.ConnectError) as caught:
+        curio.run(main)
+    assert caught.value.run is core.RunMark.NOT_RUN
--- /dev/null
+++ b/libs/lease/src/banyandale_lease/__init__.py
@@ -0,0 +1,1 @@
+"""Leases, ownership of homes and rendezvous hashing."""
--- /dev/null
+++ b/libs/peer/src/banyandale_peer/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated links between gateways."""
--- /dev/null
+++ b/libs/platform/src/banyandale_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients for the platform: object store and VM list."""
--- /dev/null
+++ b/libs/retry/src/banyandale_retry/__init__.py
@@ -0,0 +1,1 @@
+"""Backoff, retry budgets and hedge delays."""
