Add the models of the configuration document

Cause: the gateway needs the configuration as plain data, and operators need every problem of a document listed before it takes effect.

--- a/libs/config/src/banyandale_config/__init__.py
+++ b/libs/config/src/banyandale_config/__init__.py
@@ -1,1 +1,57 @@
-"""Configuration document, publication and distribution."""
+"""Configuration document, its publication and its distribution."""
+
+from banyandale_config._changes import Change
+from banyandale_config._changes import compare
+from banyandale_config._document import check
+from banyandale_config._document import dump_json
+from banyandale_config._document import dump_schema
+from banyandale_config._document import dump_yaml
+from banyandale_config._document import load
+from banyandale_config._document import read_text
+from banyandale_config._errors import ConfigConflictError
+from banyandale_config._errors import ConfigError
+from banyandale_config._errors import ConfigOutcomeUnknownError
+from banyandale_config._errors import DamagedConfigError
+from banyandale_config._errors import GenerationNotFoundError
+from banyandale_config._errors import InvalidDocumentError
+from banyandale_config._models import Document
+from banyandale_config._models import ServerModel
+from banyandale_config._models import ServiceModel
+from banyandale_config._models import ZoneModel
+from banyandale_config._problems import format_path
+from banyandale_config._problems import Problem
+from banyandale_config._problems import Severity
+from banyandale_config._snapshot import build_snapshot
+from banyandale_config._snapshot import Server
+from banyandale_config._snapshot import Service
+from banyandale_config._snapshot import Snapshot
+from banyandale_config._snapshot import Zone
+
+__all__ = [
+    "Change",
+    "ConfigConflictError",
+    "ConfigError",
+    "ConfigOutcomeUnknownError",
+    "DamagedConfigError",
+    "Document",
+    "GenerationNotFoundError",
+    "InvalidDocumentError",
+    "Problem",
+    "Server",
+    "ServerModel",
+    "Service",
+    "ServiceModel",
+    "Severity",
+    "Snapshot",
+    "Zone",
+    "ZoneModel",
+    "build_snapshot",
+    "check",
+    "compare",
+    "dump_json",
+    "dump_schema",
+    "dump_yaml",
+    "format_path",
+    "load",
+    "read_text",
+]
--- /dev/null
+++ b/libs/config/src/banyandale_config/_snapshot.py
@@ -0,0 +1,125 @@
+"""The configuration in force, as frozen data classes."""
+
+from collections.abc import Iterable
+import dataclasses
+import functools
+
+from banyandale_config import _models as models
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Zone:
+    """An availability zone; `state` is "in" or "out"."""
+
+    name: str
+    state: str
+
+    @property
+    def in_service(self) -> bool:
+        """Whether the zone takes new work."""
+        return self.state == "in"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Server:
+    """A backend server; `state` is "in" or "leaving"."""
+
+    address: str
+    zone: str
+    slots: int
+    connections: int
+    state: str
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the server takes no new work."""
+        return self.state == "leaving"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Service:
+    """A service, its limits and its backend servers.
+
+    The fields are those of the document; times are in milliseconds.
+    """
+
+    name: str
+    priority: int
+    timeout_ms: int
+    max_timeout_ms: int
+    idempotent_methods: frozenset[str]
+    queue_limit: int
+    retry_ratio: float
+    hedge_ratio: float
+    cold_limit: int
+    cold_min_ms: int
+    max_request_bytes: int
+    max_response_bytes: int
+    rate_limit_per_s: float | None
+    probe_budget_per_s: float
+    servers: tuple[Server, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Snapshot:
+    """One generation of the configuration.
+
+    A service that did not change between two generations is the same object
+    in both snapshots.
+    """
+
+    generation: int
+    zones: tuple[Zone, ...]
+    services: tuple[Service, ...]
+
+    @functools.cached_property
+    def services_by_name(self) -> dict[str, Service]:
+        """The services by name."""
+        return {service.name: service for service in self.services}
+
+    @functools.cached_property
+    def zones_by_name(self) -> dict[str, Zone]:
+        """The zones by name."""
+        return {zone.name: zone for zone in self.zones}
+
+    def find_service(self, name: str) -> Service | None:
+        """Returns the service `name`, or None."""
+        return self.services_by_name.get(name)
+
+    def is_zone_in(self, name: str) -> bool:
+        """Whether the zone `name` exists and takes new work."""
+        zone = self.zones_by_name.get(name)
+        return zone is not None and zone.in_service
+
+
+def build_zones(zones: Iterable[models.ZoneModel]) -> tuple[Zone, ...]:
+    """Converts validated zones."""
+    return tuple(Zone(name=zone.name, state=zone.state) for zone in zones)
+
+
+def build_service(model: models.ServiceModel) -> Service:
+    """Converts one validated service."""
+    values = {
+        name: getattr(model, name) for name in models.ServiceModel.model_fields
+    }
+    values["idempotent_methods"] = frozenset(model.idempotent_methods)
+    values["servers"] = tuple(
+        Server(
+            address=server.address,
+            zone=server.zone,
+            slots=server.slots,
+            connections=server.connections,
+            state=server.state,
+        )
+        for server in model.servers
+    )
+    return Service(**values)
+
+
+def build_snapshot(document: models.Document, *, generation: int) -> Snapshot:
+    """Converts a validated document."""
+    return Snapshot(
+        generation=generation,
+        zones=build_zones(document.zones),
+        services=tuple(build_service(service) for service in document.services),
+    )
