--- /dev/null
+++ b/libs/app/src/banyandale/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the program with `python -m banyandale`."""
+
+from banyandale import _main as main
+
+main.main()
--- /dev/null
+++ b/libs/gateway/src/banyandale_gateway/_backends.py
@@ -0,0 +1,111 @@
+"""The protocol of backend servers: headers of requests and responses.
+
+All knowledge of these names is in this module, so that backend servers that
+speak otherwise need only another `BackendProtocol`.
+"""
+
+from typing import Protocol
+
+import banyandale_dispatch as dispatch
+import banyandale_http as http
+
+DEADLINE = b"request-deadline"
+ATTEMPT = b"request-attempt"
+REQUEST_ID = b"request-id"
+IDEMPOTENCY_KEY = b"idempotency-key"
+_BOOT = b"server-boot"
+_PHASE = b"server-phase"
+_LOAD = b"server-load"
+_SHED = b"server-shed"
+_SHED_STATUS = 503
+
+_OWN_HEADERS = frozenset({DEADLINE, ATTEMPT, REQUEST_ID})
+_SERVER_HEADERS = frozenset({_BOOT, _PHASE, _LOAD, _SHED, REQUEST_ID})
+_PHASES = {
+    b"cold": dispatch.Phase.COLD,
+    b"warm": dispatch.Phase.WARM,
+    b"leaving": dispatch.Phase.LEAVING,
+}
+
+
+class BackendProtocol(Protocol):
+    """What differs between kinds of backend servers."""
+
+    def build_request(
+        self,
+        request: http.Request,
+        *,
+        request_id: str,
+        deadline_unix_ms: int,
+        attempt: int,
+    ) -> http.Request:
+        """Returns the request as the backend server expects it."""
+
+    def read_report(self, head: http.ResponseHead) -> dispatch.LoadReport:
+        """Returns what the response says of the backend server."""
+
+    def is_shed(self, head: http.ResponseHead) -> bool:
+        """Whether the backend server says that it did not run the request."""
+
+    def belongs_to(self, head: http.ResponseHead, request_id: str) -> bool:
+        """Whether the response is the one to this request."""
+
+    def strip_headers(self, headers: http.Headers) -> http.Headers:
+        """Returns the response headers that the caller receives."""
+
+
+class HeaderProtocol:
+    """Backend servers that report their state in response headers."""
+
+    def build_request(
+        self,
+        request: http.Request,
+        *,
+        request_id: str,
+        deadline_unix_ms: int,
+        attempt: int,
+    ) -> http.Request:
+        """Returns the request with id, deadline and attempt as headers."""
+        headers = [
+            pair for pair in request.headers if pair[0] not in _OWN_HEADERS
+        ]
+        headers.append((REQUEST_ID, request_id.encode()))
+        headers.append((DEADLINE, str(deadline_unix_ms).encode()))
+        headers.append((ATTEMPT, str(attempt).encode()))
+        return http.Request(
+            method=request.method,
+            target=request.target,
+            headers=tuple(headers),
+            body=request.body,
+        )
+
+    def read_report(self, head: http.ResponseHead) -> dispatch.LoadReport:
+        """Reads boot identity, phase and load; wrong values are left out."""
+        found = {
+            key: value for key, value in head.headers if key in _SERVER_HEADERS
+        }
+        in_flight, _, slots = found.get(_LOAD, b"").partition(b"/")
+        boot = found.get(_BOOT)
+        return dispatch.LoadReport(
+            boot=None if boot is None else boot.decode("latin-1"),
+            phase=_PHASES.get(found.get(_PHASE, b"")),
+            in_flight=int(in_flight) if in_flight.isdigit() else None,
+            slots=int(slots) if slots.isdigit() else None,
+        )
+
+    def is_shed(self, head: http.ResponseHead) -> bool:
+        """Whether this is a 503 with `Server-Shed: not-run`."""
+        return head.status == _SHED_STATUS and (
+            head.header(_SHED) == b"not-run"
+        )
+
+    def belongs_to(self, head: http.ResponseHead, request_id: str) -> bool:
+        """Whether the echoed request id, if any, is the sent one."""
+        echoed = head.header(REQUEST_ID)
+        return echoed is None or echoed == request_id.encode()
+
+    def strip_headers(self, headers: http.Headers) -> http.Headers:
+        """Leaves out what concerns only the gateway."""
+        return tuple(
+            pair for pair in headers if pair[0] not in _SERVER_HEADERS
+        )
--- /dev/null
+++ b/libs/gateway/src/banyandale_gateway/_callers.py
@@ -0,0 +1,221 @@
+"""Serves the connections of callers, one task for each."""
+
+import dataclasses
+import json
+import time
+from typing import Protocol
+import urllib.parse
+
+from absl import logging
+import banyandale_core as core
+from banyandale_gateway import _calls as calls
+from banyandale_gateway import _errors as errors
+import banyandale_http as http
+import curio
+import curio.io
+
+# A caller's connection without a request for this long is closed.
+IDLE_SECONDS = 60.0
+# How often connections with a request in work are checked for a caller that
+# went away. Each check is one system call per such connection.
+CALLER_CHECK_SECONDS = 0.05
+RUN_HEADER = b"banyandale-run"
+REASON_HEADER = b"banyandale-reason"
+JSON_TYPE = (b"content-type", b"application/json")
+# Largest request body of any service; a service may set a lower limit.
+MAX_REQUEST_BYTES = 16 * 1024 * 1024
+
+
+class CallHandler(Protocol):
+    """Runs the calls of callers."""
+
+    def names_service(self, request: http.Request) -> bool:
+        """Whether the request names a configured service."""
+
+    async def handle_call(self, request: http.Request) -> calls.Answer:
+        """Returns the answer.
+
+        Raises:
+            CallError: The call ended without a response.
+        """
+
+
+class LocalHandler(Protocol):
+    """Answers requests to the gateway itself."""
+
+    def handle_local(self, request: http.Request, path: str) -> http.Response:
+        """Answers a request for a path below `/v1/`."""
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _ActiveCall:
+    connection: http.ServerConnection
+    task: curio.Task
+    started_at: float
+
+
+class CallerServer:
+    """Accepts callers' connections and serves their requests."""
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        calls_handler: CallHandler,
+        local_handler: LocalHandler,
+        metrics: core.Metrics,
+    ) -> None:
+        self._address = address
+        self._calls_handler = calls_handler
+        self._local_handler = local_handler
+        self._metrics = metrics
+        self._connections: set[http.ServerConnection] = set()
+        self._active: dict[int, _ActiveCall] = {}
+        self._draining = False
+
+    @property
+    def active_calls(self) -> int:
+        """How many requests are in work."""
+        return len(self._active)
+
+    @property
+    def open_connections(self) -> int:
+        """How many connections of callers are open."""
+        return len(self._connections)
+
+    async def run(self) -> None:
+        """Accepts connections until cancelled."""
+        listener = http.open_listener(self._address)
+        checker = await curio.spawn(self._check_callers, daemon=True)
+        try:
+            while True:
+                sock, _ = await listener.accept()
+                await curio.spawn(self._serve_connection, sock, daemon=True)
+        finally:
+            await checker.cancel(blocking=False)
+            await listener.close()
+
+    def drain(self) -> None:
+        """Lets every connection end after its next response."""
+        self._draining = True
+        for connection in self._connections:
+            connection.close_after_response()
+
+    async def _check_callers(self) -> None:
+        while True:
+            await curio.sleep(CALLER_CHECK_SECONDS)
+            oldest = time.monotonic() - CALLER_CHECK_SECONDS
+            for active in tuple(self._active.values()):
+                if active.started_at < oldest and (
+                    active.connection.caller_left()
+                ):
+                    self._metrics.incr("caller.gone")
+                    await active.task.cancel(blocking=False)
+
+    async def _serve_connection(self, sock: curio.io.Socket) -> None:
+        connection = http.ServerConnection(sock=sock)
+        self._connections.add(connection)
+        task = await curio.current_task()
+        if self._draining:
+            connection.close_after_response()
+        try:
+            while await self._serve_request(connection, task):
+                pass
+        except http.CallerGoneError:
+            self._metrics.incr("caller.gone")
+        except curio.CancelledError:
+            raise
+        except Exception:
+            self._metrics.incr("caller.internal_error")
+            logging.exception("connection of a caller failed")
+        finally:
+            self._connections.discard(connection)
+            self._active.pop(id(connection), None)
+            await connection.close()
+
+    async def _serve_request(
+        self, connection: http.ServerConnection, task: curio.Task
+    ) -> bool:
+        """Serves one request; returns whether another may follow."""
+        try:
+            request = await connection.read_request(
+                limit=MAX_REQUEST_BYTES,
+                idle_deadline=time.monotonic() + IDLE_SECONDS,
+            )
+        except http.MalformedRequestError as error:
+            self._metrics.incr(f"refused.{error.code}")
+            await connection.send_response(
+                build_refusal(error.status, error.code, error.run, str(error))
+            )
+            return False
+        if request is None:
+            return False
+        self._active[id(connection)] = _ActiveCall(
+            connection=connection, task=task, started_at=time.monotonic()
+        )
+        try:
+            await self._respond(connection, request)
+        finally:
+            self._active.pop(id(connection), None)
+        return connection.is_reusable
+
+    async def _respond(
+        self, connection: http.ServerConnection, request: http.Request
+    ) -> None:
+        path = urllib.parse.urlsplit(request.target.decode("latin-1")).path
+        try:
+            if path.startswith("/v1/") and (
+                not self._calls_handler.names_service(request)
+            ):
+                response = self._local_handler.handle_local(request, path)
+                await connection.send_response(response)
+                return
+            answer = await self._calls_handler.handle_call(request)
+        except errors.CallError as error:
+            self._metrics.incr(f"refused.{error.code}")
+            await connection.send_response(
+                build_refusal(error.status, error.code, error.run, str(error))
+            )
+            return
+        if answer.rest is None:
+            await connection.send_response(
+                http.Response(
+                    status=answer.head.status,
+                    headers=answer.head.headers,
+                    body=answer.body,
+                )
+            )
+        else:
+            await self._stream(connection, answer)
+
+    async def _stream(
+        self, connection: http.ServerConnection, answer: calls.Answer
+    ) -> None:
+        rest = answer.rest
+        try:
+            await connection.start_response(answer.head)
+            await connection.send_chunk(answer.body)
+            while chunk := await rest.read_chunk():
+                await connection.send_chunk(chunk)
+            await connection.end_response()
+        except errors.CallError as error:
+            self._metrics.incr(f"stream_aborted.{error.code}")
+            await connection.abort()
+        finally:
+            await rest.close()
+
+
+def build_refusal(
+    status: int, code: str, run: core.RunMark, message: str
+) -> http.Response:
+    """Returns the response that tells a caller why its request failed."""
+    body = json.dumps({"code": code, "run": run.value, "message": message})
+    return http.Response(
+        status=status,
+        headers=(
+            JSON_TYPE,
+            (RUN_HEADER, run.value.encode()),
+            (REASON_HEADER, code.encode()),
+        ),
+        body=body.encode(),
+    )
--- /dev/null
+++ b/libs/gateway/src/banyandale_gateway/_errors.py
@@ -0,0 +1,186 @@
+"""Errors that end a call, and the HTTP status that each becomes."""
+
+import banyandale_core as core
+
+
+class CallError(core.CodedError):
+    """A call ended without a response of a backend server.
+
+    Attributes:
+        run: Whether the request may have run.
+        status: HTTP status for the caller.
+    """
+
+    code = "call_failed"
+    status = 503
+
+    def __init__(
+        self, message: str, *, run: core.RunMark = core.RunMark.NOT_RUN
+    ) -> None:
+        super().__init__(message)
+        self.run = run
+
+
+class UnknownServiceError(CallError):
+    """The request names no service, or one that is not configured."""
+
+    code = "unknown_service"
+    status = 404
+
+
+class UnknownZoneError(CallError):
+    """A lookup names an availability zone that is not configured."""
+
+    code = "unknown_zone"
+    status = 404
+
+
+class InvalidLookupError(CallError):
+    """A lookup misses a parameter."""
+
+    code = "invalid_lookup"
+    status = 400
+
+
+class InvalidDeadlineError(CallError):
+    """The `Request-Deadline` header is not a whole number."""
+
+    code = "invalid_deadline"
+    status = 400
+
+
+class NoConfigurationError(CallError):
+    """The gateway has no configuration yet."""
+
+    code = "no_configuration"
+
+
+class DeadlinePassedError(CallError):
+    """The deadline passed before the request was sent."""
+
+    code = "deadline_passed"
+    status = 504
+
+
+class NoHomeError(CallError):
+    """No home of the service can be reached."""
+
+    code = "no_home"
+
+
+class HomeUnavailableError(CallError):
+    """A home did not take the request; another home may."""
+
+    code = "home_unavailable"
+
+
+class NotHomeError(HomeUnavailableError):
+    """A peer passed on a request, but this gateway is not the home."""
+
+    code = "not_home"
+
+
+class HomeBusyError(HomeUnavailableError):
+    """A peer passed on a request, but its queue refused it."""
+
+    code = "home_busy"
+
+
+class PeerUnreachableError(HomeUnavailableError):
+    """The link to the peer failed before the request was sent."""
+
+    code = "peer_unreachable"
+
+
+class LeaseExpiredError(HomeUnavailableError):
+    """The lease expired before the request was sent to a cold server."""
+
+    code = "lease_expired"
+
+
+class QueueRefusedError(CallError):
+    """The queue of the home refused the request.
+
+    Attributes:
+        code: Code of the dispatcher's error.
+    """
+
+    def __init__(self, error: core.CodedError) -> None:
+        super().__init__(str(error))
+        self.code = error.code
+
+
+class AttemptError(CallError):
+    """An attempt at a backend server failed."""
+
+
+class RateLimitedError(CallError):
+    """The service's configured request rate is exceeded."""
+
+    code = "rate_limited"
+    status = 429
+
+
+class RequestTooLargeError(CallError):
+    """The request body is larger than the service allows."""
+
+    code = "request_too_large"
+    status = 413
+
+
+class ShedError(AttemptError):
+    """The backend server refused the request without running it."""
+
+    code = "backend_shed"
+
+
+class ServerLostError(AttemptError):
+    """The connection to the backend server could not be opened."""
+
+    code = "backend_unreachable"
+
+
+class ExchangeFailedError(AttemptError):
+    """The exchange with the backend server failed after it began.
+
+    Attributes:
+        cause: Code of the error of the connection.
+    """
+
+    code = "backend_failed"
+    status = 502
+
+    def __init__(
+        self, message: str, *, cause: str, run: core.RunMark
+    ) -> None:
+        super().__init__(message, run=run)
+        self.cause = cause
+
+
+class ExchangeTimeoutError(ExchangeFailedError):
+    """No complete response came before the deadline."""
+
+    code = "backend_timeout"
+    status = 504
+
+
+class MixedResponseError(ExchangeFailedError):
+    """The response carries the id of another request."""
+
+    code = "mixed_response"
+
+
+class RemoteCallError(AttemptError):
+    """A peer reported an error of the call.
+
+    Attributes:
+        remote_code: Code of the error at the peer.
+    """
+
+    code = "remote_error"
+
+    def __init__(
+        self, message: str, *, remote_code: str, run: core.RunMark
+    ) -> None:
+        super().__init__(message, run=run)
+        self.remote_code = remote_code
--- /dev/null
+++ b/libs/gateway/src/banyandale_gateway/_local.py
@@ -0,0 +1,109 @@
+"""Requests to the gateway itself: address lookup and status."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import json
+from typing import Any
+from typing import Protocol
+import urllib.parse
+
+import banyandale_config as config
+import banyandale_core as core
+from banyandale_gateway import _callers as callers
+from banyandale_gateway import _errors as errors
+from banyandale_gateway import _lookup as lookup
+import banyandale_http as http
+
+
+class Membership(Protocol):
+    """Knows the gateways that callers may use."""
+
+    def candidates(self, service: str) -> tuple[lookup.Candidate, ...]:
+        """Returns the gateways for callers of a service."""
+
+
+class SnapshotSource(Protocol):
+    """Gives the configuration in force."""
+
+    def current(self) -> config.Snapshot | None:
+        """Returns the configuration, or None before the first one."""
+
+
+class LocalEndpoints:
+    """Serves `/v1/addresses` and `/v1/status`."""
+
+    def __init__(
+        self,
+        *,
+        membership: Membership,
+        configuration: SnapshotSource,
+        status: Callable[[], Mapping[str, Any]],
+        clock: core.Clock,
+        metrics: core.Metrics,
+    ) -> None:
+        self._membership = membership
+        self._configuration = configuration
+        self._status = status
+        self._clock = clock
+        self._metrics = metrics
+
+    def handle_local(self, request: http.Request, path: str) -> http.Response:
+        """Answers one request.
+
+        Raises:
+            CallError: The request names an unknown path, service or zone.
+        """
+        if path == "/v1/addresses":
+            return self._look_up(request)
+        if path == "/v1/status":
+            return _build_response(self._status(), ())
+        raise errors.UnknownServiceError(
+            f"no service is named and {path!r} is no path of the gateway"
+        )
+
+    def _look_up(self, request: http.Request) -> http.Response:
+        service, zone = _read_parameters(request)
+        snapshot = self._configuration.current()
+        if snapshot is None:
+            raise errors.NoConfigurationError("no configuration is in force")
+        if snapshot.find_service(service) is None:
+            raise errors.UnknownServiceError(f"service {service!r} is unknown")
+        if zone not in snapshot.zones_by_name:
+            raise errors.UnknownZoneError(
+                f"availability zone {zone!r} is unknown"
+            )
+        addresses = lookup.order_addresses(
+            self._membership.candidates(service), zone=zone, service=service
+        )
+        self._metrics.incr("lookup")
+        body = {
+            "service": service,
+            "zone": zone,
+            "addresses": addresses,
+            "valid_until": round(
+                self._clock.unix() + lookup.VALID_SECONDS, 3
+            ),
+        }
+        max_age = f"max-age={int(lookup.VALID_SECONDS)}".encode()
+        return _build_response(body, ((b"cache-control", max_age),))
+
+
+def _read_parameters(request: http.Request) -> tuple[str, str]:
+    query = urllib.parse.urlsplit(request.target.decode("latin-1")).query
+    values = urllib.parse.parse_qs(query)
+    missing = [name for name in ("service", "zone") if name not in values]
+    if missing:
+        raise errors.InvalidLookupError(
+            f"lookup misses the parameter {' and '.join(missing)}"
+        )
+    return values["service"][0], values["zone"][0]
+
+
+def _build_response(
+    body: Mapping[str, Any], headers: http.Headers
+) -> http.Response:
+    return http.Response(
+        status=200,
+        headers=(callers.JSON_TYPE, *headers),
+        body=json.dumps(body).encode(),
+    )
--- /dev/null
+++ b/libs/gateway/src/banyandale_gateway/_rates.py
@@ -0,0 +1,49 @@
+"""Request rate limits of services."""
+
+import banyandale_config as config
+import banyandale_core as core
+
+# A service may use up what it did not use within the last second at once.
+BURST_SECONDS = 1.0
+
+
+class _Bucket:
+    """Token bucket; refills continuously."""
+
+    def __init__(self, *, now: float) -> None:
+        self._tokens: float | None = None
+        self._filled_at = now
+
+    def take(self, *, rate: float, now: float) -> bool:
+        capacity = max(rate * BURST_SECONDS, 1.0)
+        if self._tokens is None:
+            self._tokens = capacity
+        gained = (now - self._filled_at) * rate
+        self._tokens = min(capacity, self._tokens + gained)
+        self._filled_at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class RateLimits:
+    """Applies each service's limit to this gateway's share of the callers."""
+
+    def __init__(self, *, clock: core.Clock) -> None:
+        self._clock = clock
+        self._buckets: dict[str, _Bucket] = {}
+        self._gateways = 1
+
+    def set_gateways(self, count: int) -> None:
+        """Sets how many gateways share each limit."""
+        self._gateways = max(1, count)
+
+    def allow(self, service: config.Service) -> bool:
+        """Whether one more request is within the service's limit."""
+        if service.rate_limit_per_s is None:
+            return True
+        now = self._clock.monotonic()
+        bucket = self._buckets.setdefault(service.name, _Bucket(now=now))
+        rate = service.rate_limit_per_s / self._gateways
+        return bucket.take(rate=rate, now=now)
--- /dev/null
+++ b/libs/gateway/src/banyandale_gateway/_router.py
@@ -0,0 +1,310 @@
+"""Finds the way of each call to a backend server: home, peer, retry, hedge."""
+
+from collections.abc import Callable
+import dataclasses
+import time
+from typing import Protocol
+
+import banyandale_core as core
+import banyandale_dispatch as dispatch
+from banyandale_gateway import _calls as calls
+from banyandale_gateway import _errors as errors
+from banyandale_gateway import _homes as homes
+from banyandale_gateway import _sender as sender
+import banyandale_retry as retry
+import curio
+
+# A call moves on to another home at most this often when a home refuses it
+# without running it.
+MAX_REROUTES = 4
+# How often a call looks again for a home of its service, while there is none.
+HOME_POLL_SECONDS = 0.05
+# A home in another zone must promise to be faster by this much, since its
+# report is older than the local count.
+OVERFLOW_MARGIN_SECONDS = 0.001
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RemoteHome:
+    """A home that a peer holds.
+
+    Attributes:
+        peer_id: The gateway that holds it.
+        zone: Availability zone of its backend servers.
+        cost: Estimated seconds until a slot is free there, with the way to
+            it and back.
+    """
+
+    peer_id: str
+    zone: str
+    cost: float
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Progress:
+    """What a call has tried so far."""
+
+    failed_servers: set[str] = dataclasses.field(default_factory=set)
+    refused_homes: set[tuple[str, str]] = dataclasses.field(
+        default_factory=set
+    )
+    reroutes: int = 0
+
+
+class Peers(Protocol):
+    """The other gateways, as the router uses them."""
+
+    def homes_of(self, service: str) -> tuple[RemoteHome, ...]:
+        """Returns the homes that reachable peers hold, cheapest first."""
+
+    async def forward(
+        self, call: calls.Call, home: RemoteHome
+    ) -> calls.Answer:
+        """Passes a call on.
+
+        Raises:
+            CallError: The peer refused it, or the link failed.
+        """
+
+
+class Router:
+    """Routes calls to backend servers."""
+
+    def __init__(
+        self,
+        *,
+        home_table: homes.HomeTable,
+        peers: Peers,
+        request_sender: sender.Sender,
+        budgets: retry.RetryBudgets,
+        metrics: core.Metrics,
+    ) -> None:
+        self._homes = home_table
+        self._peers = peers
+        self._sender = request_sender
+        self._budgets = budgets
+        self._metrics = metrics
+
+    async def route(self, call: calls.Call) -> calls.Answer:
+        """Runs a call, with retries as far as they are safe and paid for.
+
+        Raises:
+            CallError: The call ended without a response.
+        """
+        budget = self._budgets.get(
+            call.service.name, ratio=call.service.retry_ratio
+        )
+        budget.deposit()
+        progress = _Progress()
+        while True:
+            try:
+                return await self._try_home(call, progress)
+            except errors.CallError as error:
+                if not self._may_go_on(call, error, progress, budget):
+                    raise
+
+    async def serve_peer(self, call: calls.Call) -> calls.Answer:
+        """Runs a call that a peer passed on. It goes no further.
+
+        Raises:
+            CallError: This gateway is not the home, its queue is longer than
+                the peer expected, or the attempt failed.
+        """
+        local = self._homes.homes_of(call.service.name)
+        if not local:
+            raise errors.NotHomeError(
+                f"no home of {call.service.name!r} is held here"
+            )
+        home = min(local, key=_local_cost)
+        return await self._try_local(call, home, _Progress())
+
+    def _may_go_on(
+        self,
+        call: calls.Call,
+        error: errors.CallError,
+        progress: _Progress,
+        budget: retry.RetryBudget,
+    ) -> bool:
+        if isinstance(error, errors.HomeUnavailableError):
+            progress.reroutes += 1
+            if progress.reroutes > MAX_REROUTES:
+                return False
+            self._metrics.incr(f"reroute.{error.code}")
+            return True
+        if not isinstance(error, errors.AttemptError):
+            return False
+        if error.run is core.RunMark.UNKNOWN and not call.idempotent:
+            return False
+        if call.attempt > 1:
+            self._metrics.incr("retry_denied.not_first_attempt")
+            return False
+        if time.monotonic() >= call.deadline:
+            return False
+        if not budget.try_spend():
+            self._metrics.incr("retry_denied.budget")
+            return False
+        self._metrics.incr(f"retry.{error.code}")
+        return True
+
+    async def _try_home(
+        self, call: calls.Call, progress: _Progress
+    ) -> calls.Answer:
+        local, remote = await self._find_homes(call, progress)
+        if local is None:
+            return await self._forward(call, remote, progress)
+        if remote is not None:
+            local_cost = _local_cost(local)
+            if local_cost > remote.cost + OVERFLOW_MARGIN_SECONDS:
+                self._metrics.incr("overflow")
+                return await self._forward(call, remote, progress)
+        return await self._try_local(call, local, progress)
+
+    async def _find_homes(
+        self, call: calls.Call, progress: _Progress
+    ) -> tuple[homes.Home | None, RemoteHome | None]:
+        """Returns the best local and the best remote home.
+
+        Waits while there is neither, since a home that was lost is taken
+        over within seconds.
+        """
+        name = call.service.name
+        while True:
+            local = min(
+                self._homes.homes_of(name), key=_local_cost, default=None
+            )
+            remote = next(
+                (
+                    home
+                    for home in self._peers.homes_of(name)
+                    if (home.peer_id, home.zone) not in progress.refused_homes
+                ),
+                None,
+            )
+            if local is not None or remote is not None:
+                return local, remote
+            if time.monotonic() + HOME_POLL_SECONDS >= call.deadline:
+                raise errors.NoHomeError(f"no home of {name!r} is reachable")
+            progress.refused_homes.clear()
+            await curio.sleep(HOME_POLL_SECONDS)
+
+    async def _forward(
+        self, call: calls.Call, home: RemoteHome, progress: _Progress
+    ) -> calls.Answer:
+        self._metrics.incr("forwarded")
+        try:
+            return await self._peers.forward(call, home)
+        except errors.HomeUnavailableError:
+            progress.refused_homes.add((home.peer_id, home.zone))
+            raise
+
+    async def _try_local(
+        self, call: calls.Call, home: homes.Home, progress: _Progress
+    ) -> calls.Answer:
+        dispatcher = home.dispatcher
+        try:
+            assignment = await dispatcher.acquire(
+                deadline=call.deadline,
+                priority=call.service.priority,
+                exclude=frozenset(progress.failed_servers),
+                allow_cold=self._homes.has_lease(home),
+            )
+        except dispatch.DispatchError as error:
+            raise errors.QueueRefusedError(error) from error
+        attempt = self._sender.prepare(
+            call, assignment=assignment, dispatcher=dispatcher
+        )
+        try:
+            await attempt.start(self._build_guard(home, assignment))
+            if call.idempotent and call.attempt == 1:
+                return await self._finish_hedged(call, home, attempt)
+            return await attempt.finish()
+        except errors.AttemptError:
+            progress.failed_servers.add(assignment.address)
+            raise
+
+    def _build_guard(
+        self, home: homes.Home, assignment: dispatch.Assignment
+    ) -> Callable[[], bool]:
+        def may_send() -> bool:
+            return not assignment.is_cold or self._homes.has_lease(home)
+
+        return may_send
+
+    async def _finish_hedged(
+        self, call: calls.Call, home: homes.Home, attempt: sender.Attempt
+    ) -> calls.Answer:
+        """Finishes an attempt; sends a second one when it takes long."""
+        hedge_at = time.monotonic() + home.dispatcher.hedge_delay()
+        if hedge_at >= call.deadline:
+            return await attempt.finish()
+        if await attempt.wait_readable(deadline=hedge_at):
+            return await attempt.finish()
+        hedge = await self._start_hedge(call, home, attempt)
+        if hedge is None:
+            return await attempt.finish()
+        return await self._finish_first(attempt, hedge)
+
+    async def _start_hedge(
+        self, call: calls.Call, home: homes.Home, first: sender.Attempt
+    ) -> sender.Attempt | None:
+        budget = self._budgets.get(
+            call.service.name, ratio=call.service.retry_ratio
+        )
+        assignment = home.dispatcher.try_acquire(
+            exclude=frozenset({first.address})
+        )
+        if assignment is None:
+            return None
+        hedge = self._sender.prepare(
+            call, assignment=assignment, dispatcher=home.dispatcher
+        )
+        if assignment.is_cold or not budget.try_spend():
+            await hedge.close()
+            return None
+        try:
+            await hedge.start(self._build_guard(home, assignment))
+        except errors.CallError:
+            return None
+        except BaseException:
+            await first.close()
+            raise
+        self._metrics.incr("hedge.sent")
+        return hedge
+
+    async def _finish_first(
+        self, first: sender.Attempt, hedge: sender.Attempt
+    ) -> calls.Answer:
+        """Returns the first complete response and cancels the other."""
+        winner: list[tuple[sender.Attempt, calls.Answer]] = []
+        failure: list[errors.CallError] = []
+        done = curio.Event()
+
+        async def finish(attempt: sender.Attempt) -> None:
+            try:
+                answer = await attempt.finish()
+            except errors.CallError as error:
+                failure.append(error)
+                if len(failure) == 2:
+                    await done.set()
+                return
+            winner.append((attempt, answer))
+            await done.set()
+
+        tasks = [
+            await curio.spawn(finish, attempt, daemon=True)
+            for attempt in (first, hedge)
+        ]
+        try:
+            await done.wait()
+        finally:
+            for task in tasks:
+                await task.cancel(blocking=False)
+        if not winner:
+            raise failure[0]
+        if winner[0][0] is hedge:
+            self._metrics.incr("hedge.won")
+        return winner[0][1]
+
+
+def _local_cost(home: homes.Home) -> float:
+    return home.dispatcher.estimate_wait()
--- /dev/null
+++ b/libs/gateway/src/banyandale_gateway/_sender.py
@@ -0,0 +1,266 @@
+"""Sends attempts of calls to backend servers."""
+
+from collections.abc import Callable
+import time
+
+import banyandale_core as core
+import banyandale_dispatch as dispatch
+from banyandale_gateway import _backends as backends
+from banyandale_gateway import _calls as calls
+from banyandale_gateway import _errors as errors
+import banyandale_http as http
+import curio
+
+# A response up to this size is read whole before the caller gets its first
+# byte, so that a truncated one can still be retried.
+BUFFERED_BODY_BYTES = 64 * 1024
+# A connection opens in about 1 ms; a server that takes longer than this is
+# treated as unreachable, and the request goes elsewhere.
+CONNECT_SECONDS = 0.25
+# The body of a long response must make progress this often.
+STREAM_STALL_SECONDS = 5.0
+# Idle connections kept per server. In-flight requests never exceed a few
+# slots, so more would only age.
+IDLE_CONNECTIONS = 8
+
+
+class Attempt:
+    """One attempt of a call at one backend server.
+
+    The assignment is released exactly once, whatever happens.
+    """
+
+    def __init__(
+        self,
+        *,
+        call: calls.Call,
+        assignment: dispatch.Assignment,
+        dispatcher: dispatch.Dispatcher,
+        pool: http.Pool,
+        protocol: backends.BackendProtocol,
+        clock: core.Clock,
+    ) -> None:
+        self._call = call
+        self._assignment = assignment
+        self._dispatcher = dispatcher
+        self._pool = pool
+        self._protocol = protocol
+        self._clock = clock
+        self._connection: http.ClientConnection | None = None
+        self._released = False
+
+    @property
+    def address(self) -> str:
+        """The backend server."""
+        return self._assignment.address
+
+    async def start(self, may_send: Callable[[], bool]) -> None:
+        """Opens or reuses a connection and sends the request.
+
+        Args:
+            may_send: Asked immediately before the send, with no await in
+                between.
+
+        Raises:
+            CallError: The request was not sent, or not completely.
+        """
+        try:
+            await self._start(may_send)
+        except http.ConnectError as error:
+            self._dispatcher.mark_lost(self.address)
+            await self._end(dispatch.Outcome.LOST)
+            raise errors.ServerLostError(str(error)) from error
+        except http.SendError as error:
+            self._dispatcher.mark_lost(self.address)
+            await self._end(dispatch.Outcome.LOST)
+            raise errors.ExchangeFailedError(
+                str(error), cause=error.code, run=error.run
+            ) from error
+        except errors.CallError:
+            await self._end(dispatch.Outcome.CANCELLED)
+            raise
+        except BaseException:
+            await self._end(dispatch.Outcome.CANCELLED)
+            raise
+
+    async def _start(self, may_send: Callable[[], bool]) -> None:
+        deadline = min(self._call.deadline, time.monotonic() + CONNECT_SECONDS)
+        self._connection = await self._pool.acquire(
+            deadline=deadline, proved=not self._call.idempotent
+        )
+        if self._pool.take_lost():
+            self._dispatcher.mark_lost(self.address)
+        request = self._protocol.build_request(
+            self._call.request,
+            request_id=self._call.id,
+            deadline_unix_ms=core.deadline_to_unix_ms(
+                self._call.deadline, self._clock
+            ),
+            attempt=self._call.attempt,
+        )
+        if not self._dispatcher.is_current(self._assignment):
+            raise errors.ServerLostError(
+                f"{self.address} may have restarted before the send"
+            )
+        if not may_send():
+            raise errors.LeaseExpiredError(
+                f"lease expired before the send to {self.address}"
+            )
+        await self._connection.send_request(
+            request, deadline=self._call.deadline
+        )
+
+    async def wait_readable(self, *, deadline: float) -> bool:
+        """Waits for the first part of the response, as the connection does."""
+        try:
+            return await self._connection.wait_readable(deadline=deadline)
+        except BaseException:
+            await self._end(dispatch.Outcome.CANCELLED)
+            raise
+
+    async def finish(self) -> calls.Answer:
+        """Reads the response, whole when it is short.
+
+        Raises:
+            CallError: There is no complete response.
+        """
+        try:
+            return await self._finish()
+        except http.ResponseTimeoutError as error:
+            await self._pool.clear()
+            await self._end(dispatch.Outcome.TIMED_OUT)
+            raise errors.ExchangeTimeoutError(
+                str(error), cause=error.code, run=error.run
+            ) from error
+        except http.HttpError as error:
+            if isinstance(error, http.TruncatedResponseError):
+                self._dispatcher.mark_lost(self.address)
+            await self._end(dispatch.Outcome.LOST)
+            raise errors.ExchangeFailedError(
+                str(error), cause=error.code, run=error.run
+            ) from error
+        except errors.CallError:
+            await self._end(dispatch.Outcome.FAILED)
+            raise
+        except BaseException:
+            await self._end(dispatch.Outcome.CANCELLED)
+            raise
+
+    async def _finish(self) -> calls.Answer:
+        head = await self._connection.read_head(deadline=self._call.deadline)
+        if not self._protocol.belongs_to(head, self._call.id):
+            raise errors.MixedResponseError(
+                f"{self.address} sent the response to another request",
+                cause="request_id_differs",
+                run=core.RunMark.UNKNOWN,
+            )
+        report = self._protocol.read_report(head)
+        self._dispatcher.observe(self.address, report)
+        body, complete = await self._read_first_part()
+        if self._protocol.is_shed(head):
+            await self._end(dispatch.Outcome.SHED)
+            raise errors.ShedError(f"{self.address} shed the request")
+        head = http.ResponseHead(
+            status=head.status,
+            headers=self._protocol.strip_headers(head.headers),
+            length=head.length,
+        )
+        if complete:
+            await self._end(dispatch.Outcome.OK)
+            return calls.Answer(head=head, body=body)
+        return calls.Answer(head=head, body=body, rest=self)
+
+    async def _read_first_part(self) -> tuple[bytes, bool]:
+        chunks = []
+        size = 0
+        while size < BUFFERED_BODY_BYTES:
+            chunk = await self._connection.read_chunk(
+                deadline=self._call.deadline
+            )
+            if not chunk:
+                return b"".join(chunks), True
+            chunks.append(chunk)
+            size += len(chunk)
+        return b"".join(chunks), False
+
+    async def read_chunk(self) -> bytes:
+        """Reads more of a long body; see `calls.BodyStream`."""
+        deadline = time.monotonic() + STREAM_STALL_SECONDS
+        try:
+            chunk = await self._connection.read_chunk(deadline=deadline)
+        except http.HttpError as error:
+            await self._end(dispatch.Outcome.LOST)
+            raise errors.ExchangeFailedError(
+                str(error), cause=error.code, run=error.run
+            ) from error
+        if not chunk:
+            await self._end(dispatch.Outcome.OK)
+        return chunk
+
+    async def close(self) -> None:
+        """Gives up; closing the connection cancels the work."""
+        await self._end(dispatch.Outcome.CANCELLED)
+
+    async def _end(self, outcome: dispatch.Outcome) -> None:
+        if self._released:
+            return
+        self._released = True
+        self._dispatcher.release(self._assignment, outcome)
+        if self._connection is None:
+            return
+        # Neither call waits for the network.
+        if outcome in (dispatch.Outcome.OK, dispatch.Outcome.SHED):
+            await self._pool.release(self._connection)
+        else:
+            await self._connection.close()
+
+
+class Sender:
+    """Makes attempts and keeps the connections to backend servers."""
+
+    def __init__(
+        self,
+        *,
+        protocol: backends.BackendProtocol,
+        source: str | None,
+        clock: core.Clock,
+    ) -> None:
+        self._protocol = protocol
+        self._source = source
+        self._clock = clock
+        self._pools: dict[str, http.Pool] = {}
+
+    def prepare(
+        self,
+        call: calls.Call,
+        *,
+        assignment: dispatch.Assignment,
+        dispatcher: dispatch.Dispatcher,
+    ) -> Attempt:
+        """Returns an attempt that is not started."""
+        return Attempt(
+            call=call,
+            assignment=assignment,
+            dispatcher=dispatcher,
+            pool=self._pool(assignment.address),
+            protocol=self._protocol,
+            clock=self._clock,
+        )
+
+    def _pool(self, address: str) -> http.Pool:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = http.Pool(
+                address=address, limit=IDLE_CONNECTIONS, source=self._source
+            )
+            self._pools[address] = pool
+        return pool
+
+    async def keep_only(self, addresses: frozenset[str]) -> None:
+        """Closes the connections to servers that are no longer configured."""
+        for address in self._pools.keys() - addresses:
+            await self._pools.pop(address).clear()
+
+    async def close(self) -> None:
+        """Closes all idle connections."""
+        await self.keep_only(frozenset())
--- /dev/null
+++ b/libs/gateway/src/banyandale_gateway/_settings.py
@@ -0,0 +1,46 @@
+"""Settings of a gateway, as it uses them."""
+
+import dataclasses
+import enum
+
+
+class Routing(enum.Enum):
+    """How requests reach backend servers."""
+
+    HOME = "home"
+    DIRECT = "direct"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Settings:
+    """Settings of one gateway.
+
+    Attributes:
+        gateway_id: Unique name of this VM's gateway.
+        zone: Availability zone of the VM.
+        listen: `ip:port` for callers.
+        advertise: `ip:port` that lookups give to callers.
+        peer_listen: `ip:port` for other gateways.
+        peer_advertise: `ip:port` that other gateways connect to.
+        source: Local IP number of outgoing connections, or None.
+        platform: `ip:port` of the object API and VM list.
+        peer_secret: Shared secret of all gateways.
+        peers: `ip:port` of peers to start from while the platform is down.
+        routing: Whether homes dispatch, or each gateway for itself.
+        policy: Name of the policy of direct routing.
+        statsd: `ip:port` of the statsd server, or None.
+    """
+
+    gateway_id: str
+    zone: str
+    listen: str
+    advertise: str
+    peer_listen: str
+    peer_advertise: str
+    source: str | None = None
+    platform: str
+    peer_secret: str
+    peers: tuple[str, ...] = ()
+    routing: Routing = Routing.HOME
+    policy: str = "least_loaded"
+    statsd: str | None = None
--- /dev/null
+++ b/libs/gateway/src/banyandale_gateway/_vms.py
@@ -0,0 +1,54 @@
+"""Follows the platform's list of VMs."""
+
+from collections.abc import Callable
+
+from absl import logging
+import banyandale_core as core
+import banyandale_platform as platform
+import curio
+
+# A VM that starts leaving must get no new work after 3 s. One period of this
+# and the lag of the list have to fit in.
+POLL_SECONDS = 1.0
+
+
+class VmWatcher:
+    """Knows the IP numbers of VMs that are leaving.
+
+    The list lags, so a VM that is not on it counts as present: a new backend
+    server may get work before its VM is listed.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm_list: platform.VmList,
+        on_change: Callable[[], None],
+        metrics: core.Metrics,
+    ) -> None:
+        self._vm_list = vm_list
+        self._on_change = on_change
+        self._metrics = metrics
+        self._leaving: frozenset[str] = frozenset()
+
+    def is_leaving(self, address: str) -> bool:
+        """Whether the VM of `ip:port` is leaving."""
+        return address.rpartition(":")[0] in self._leaving
+
+    async def run(self) -> None:
+        """Polls the list until cancelled."""
+        while True:
+            await self._poll()
+            await curio.sleep(POLL_SECONDS)
+
+    async def _poll(self) -> None:
+        try:
+            vms = await self._vm_list.fetch()
+        except core.CodedError as error:
+            self._metrics.incr(f"vm_list_failed.{error.code}")
+            return
+        leaving = frozenset(vm.address for vm in vms if vm.leaving)
+        if leaving != self._leaving:
+            logging.info("VMs leaving: %s", sorted(leaving) or "none")
+            self._leaving = leaving
+            self._on_change()
--- a/libs/http/src/banyandale_http/_client.py
+++ b/libs/http/src/banyandale_http/_client.py
@@ -5,6 +5,7 @@
 
 import curio
 import curio.io
+from curio import traps
 import h11
 
 import banyandale_core as core
@@ -116,6 +117,22 @@
                 f"{self._address}: {error!r}", run=self._run_mark()
             ) from error
 
+    async def wait_readable(self, *, deadline: float) -> bool:
+        """Waits until a part of the response has arrived.
+
+        Returns:
+            False when the deadline (monotonic seconds) passed first. The
+            exchange can go on either way.
+        """
+        if sockets.peek(self._sock) is not None:
+            return True
+        try:
+            async with core.timeout_at(deadline):
+                await traps._read_wait(self._sock._fileno)
+        except curio.TaskTimeout:
+            return False
+        return True
+
     async def _send_all(self, data: bytes) -> None:
         view = memoryview(data)
         while view:
--- a/libs/http/src/banyandale_http/_pool.py
+++ b/libs/http/src/banyandale_http/_pool.py
@@ -24,6 +24,7 @@
         self._idle: collections.deque[client.ClientConnection] = (
             collections.deque()
         )
+        self._lost = False
 
     async def acquire(
         self, *, deadline: float, proved: bool = False
@@ -42,8 +43,10 @@
         oldest = now - (PROVED_SECONDS if proved else MAX_IDLE_SECONDS)
         while self._idle:
             connection = self._idle.pop()
-            if connection.proved_at >= oldest and connection.is_reusable:
+            reusable = connection.is_reusable
+            if reusable and connection.proved_at >= oldest:
                 return connection
+            self._lost = self._lost or not reusable
             await connection.close()
         return await client.ClientConnection.open(
             address=self._address, source=self._source, deadline=deadline
@@ -56,9 +59,13 @@
         else:
             await connection.close()
 
-    def has_lost_connections(self) -> bool:
-        """Whether the other side closed an idle connection."""
-        return any(not connection.is_reusable for connection in self._idle)
+    def take_lost(self) -> bool:
+        """Whether an idle connection was found closed since the last call.
+
+        A server that restarted has closed all its connections.
+        """
+        lost, self._lost = self._lost, False
+        return lost
 
     async def clear(self) -> None:
         """Closes all idle connections."""
--- a/libs/http/src/banyandale_http/_server.py
+++ b/libs/http/src/banyandale_http/_server.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+import time
 
 import curio
 import curio.io
@@ -14,6 +15,9 @@
 
 RECEIVE_BYTES = 65536
 MAX_HEAD_BYTES = 65536
+# A caller that takes no data for this long is dropped, because its response
+# holds a slot of a backend server.
+STALL_SECONDS = 10.0
 
 
 class ServerConnection:
@@ -151,8 +155,9 @@
 
     async def _send_bytes(self, data: bytes) -> None:
         try:
-            await self._sock.sendall(data)
-        except OSError as error:
+            async with core.timeout_at(time.monotonic() + STALL_SECONDS):
+                await self._sock.sendall(data)
+        except (OSError, curio.TaskTimeout) as error:
             raise errors.CallerGoneError(
                 str(error), run=core.RunMark.UNKNOWN
             ) from error
