--- /dev/null
+++ b/libs/dispatch/tests/test_dispatcher.py
@@ -0,0 +1,78 @@
+"""Tests of the dispatcher with a controlled clock."""
+
+import curio
+import pytest
+
+import banyandale_dispatch as dispatch
+
+OK = dispatch.Outcome(kind=dispatch.OutcomeKind.OK)
+LOST = dispatch.Outcome(kind=dispatch.OutcomeKind.LOST)
+WARM = dispatch.LoadReport(boot="b1", phase=dispatch.Phase.WARM)
+
+
+class FakeClock:
+    def __init__(self):
+        self.now = 1000.0
+
+    def monotonic(self):
+        return self.now
+
+    def unix(self):
+        return self.now
+
+
+def make(count=1, *, warm=True, **options):
+    clock = FakeClock()
+    dispatcher = dispatch.Dispatcher(clock=clock, **options)
+    dispatcher.update_servers(
+        [
+            dispatch.Server(address=f"s{number}", zone="z", slots=2)
+            for number in range(count)
+        ]
+    )
+    if warm:
+        dispatcher.restore_warm({f"s{n}": "b1" for n in range(count)})
+    return dispatcher, clock
+
+
+async def spawn(dispatcher, clock, **options):
+    options.setdefault("deadline", clock.now + 60)
+    task = await curio.spawn(dispatcher.acquire(**options))
+    await curio.sleep(0)
+    return task
+
+
+def test_cancelled_waiter_gives_back_slot():
+    # Guards against a slot lost when a task is cancelled after a release
+    # handed it the slot and before the task ran.
+    async def main():
+        dispatcher, clock = make()
+        held = [dispatcher.try_acquire(), dispatcher.try_acquire()]
+        first = await spawn(dispatcher, clock, priority=1)
+        second = await spawn(dispatcher, clock, priority=2)
+        dispatcher.release(held[0], OK)
+        await first.cancel()
+        assignment = await second.join()
+        assert assignment.address == "s0"
+        dispatcher.release(assignment, OK)
+        assert dispatcher.load().free_slots == 1
+
+    curio.run(main)
+
+
+def test_full_queue_displaces_lowest_priority():
+    # Guards against low-priority work that keeps high-priority work out.
+    async def main():
+        dispatcher, clock = make(queue_limit=1)
+        held = [dispatcher.try_acquire(), dispatcher.try_acquire()]
+        low = await spawn(dispatcher, clock, priority=5)
+        with pytest.raises(dispatch.QueueFullError):
+            await dispatcher.acquire(deadline=clock.now + 60, priority=5)
+        high = await spawn(dispatcher, clock, priority=0)
+        with pytest.raises(curio.TaskError) as info:
+            await low.join()
+        assert isinstance(info.value.__cause__, dispatch.DisplacedError)
+        dispatcher.release(held[0], OK)
+        await high.join()
+
+    curio.run(main)
