--- a/libs/app/src/banyandale/_gateway_command.py
+++ b/libs/app/src/banyandale/_gateway_command.py
@@ -3,12 +3,13 @@
 import os
 
 from absl import logging
-from banyandale import _settings as settings
-import banyandale_gateway as gateway
 from cleo.commands import command
 from cleo.helpers import option
 import curio
 
+from banyandale import _settings as settings
+import banyandale_gateway as gateway
+
 EXIT_USAGE = 2
 
 
@@ -62,6 +63,4 @@
                 self.line_error(f"error: {problem}")
             return EXIT_USAGE
         logging.set_verbosity(logging.INFO)
-        return curio.run(
-            gateway.run_gateway, to_gateway_settings(loaded)
-        )
+        return curio.run(gateway.run_gateway, to_gateway_settings(loaded))
--- a/libs/app/src/banyandale/_main.py
+++ b/libs/app/src/banyandale/_main.py
@@ -2,9 +2,10 @@
 
 import sys
 
-from banyandale import _gateway_command as gateway_command
 from cleo import application
 
+from banyandale import _gateway_command as gateway_command
+
 
 def build_application() -> application.Application:
     """Returns the command line with all commands."""
--- a/libs/app/src/banyandale/_settings.py
+++ b/libs/app/src/banyandale/_settings.py
@@ -6,9 +6,10 @@
 from typing import Literal
 from typing import TypeVar
 
-import banyandale_core as core
 import pydantic
 
+import banyandale_core as core
+
 ENVIRONMENT_PREFIX = "BANYANDALE_"
 MIN_SECRET_LENGTH = 16
 
@@ -78,10 +79,10 @@
     routing: Literal["home", "direct"] = pydantic.Field(
         default="home", description="home, or direct for comparison"
     )
-    policy: Literal[
-        "least_loaded", "random", "round_robin", "two_choices"
-    ] = pydantic.Field(
-        default="least_loaded", description="choice of backend server"
+    policy: Literal["least_loaded", "random", "round_robin", "two_choices"] = (
+        pydantic.Field(
+            default="least_loaded", description="choice of backend server"
+        )
     )
     statsd: Address | None = pydantic.Field(
         default=None, description="ip:port of the statsd server"
--- a/libs/dispatch/src/banyandale_dispatch/_dispatcher.py
+++ b/libs/dispatch/src/banyandale_dispatch/_dispatcher.py
@@ -258,6 +258,36 @@
             self._note_loss(state, now)
             self._hand_out(now)
 
+    def mark_unverified(self, address: str) -> None:
+        """Takes note that a server may have restarted unnoticed.
+
+        No connection to it lasted since its last report. It counts as cold
+        until its next report; when that one is warm and has the same boot
+        identity, it is warm at once.
+        """
+        state = self._servers.get(address)
+        if state is not None and state.phase is states.Phase.WARM:
+            state.phase = states.Phase.UNKNOWN
+            state.epoch += 1
+
+    def is_current(self, assignment: states.Assignment) -> bool:
+        """Whether an assigned request may still be sent.
+
+        False once the server turned cold, started leaving or may have
+        restarted after the assignment.
+        """
+        state = assignment.state
+        return (
+            state is not None
+            and assignment.epoch == state.epoch
+            and state.phase is not states.Phase.LEAVING
+        )
+
+    def is_warm(self, address: str) -> bool:
+        """Whether a server is known to be warm."""
+        state = self._servers.get(address)
+        return state is not None and state.phase is states.Phase.WARM
+
     def estimate_wait(self) -> float:
         """Returns the seconds that a new request would wait for a slot."""
         return self.load().wait_estimate
--- a/libs/dispatch/src/banyandale_dispatch/_states.py
+++ b/libs/dispatch/src/banyandale_dispatch/_states.py
@@ -102,6 +102,8 @@
         reported: In-flight count of the last load report.
         running: Assignments in flight, the oldest first.
         cold_since: Monotonic seconds of the last change to COLD.
+        epoch: Grows whenever the server may no longer be the one that was
+            known to be warm; assignments of an older epoch must not be sent.
         leaving_since: Monotonic seconds when it reported to be leaving.
         retry_at: Monotonic seconds before which it gets no work.
         losses: Consecutive lost connections.
@@ -115,6 +117,7 @@
         "address",
         "boot",
         "cold_since",
+        "epoch",
         "failures",
         "in_flight",
         "leaving_since",
@@ -138,6 +141,7 @@
         self.reported = 0
         self.running: dict[Assignment, None] = {}
         self.cold_since = now
+        self.epoch = 0
         self.retry_at = 0.0
         self.losses = 0
         self.failures = 0
@@ -150,6 +154,7 @@
         """Starts the cold phase anew."""
         self.phase = Phase.COLD
         self.cold_since = now
+        self.epoch += 1
 
     def note_report(
         self, report: LoadReport, *, now: float, cold_min_seconds: float
@@ -189,11 +194,12 @@
         started_at: Monotonic seconds when the slot was assigned.
     """
 
-    __slots__ = ("address", "boot", "started_at", "state", "zone")
+    __slots__ = ("address", "boot", "epoch", "started_at", "state", "zone")
 
     def __init__(self, state: ServerState, *, now: float) -> None:
         self.state: ServerState | None = state
         self.address = state.address
         self.zone = state.server.zone
         self.boot = state.boot
+        self.epoch = state.epoch
         self.started_at = now
--- a/libs/gateway/src/banyandale_gateway/_backends.py
+++ b/libs/gateway/src/banyandale_gateway/_backends.py
@@ -41,8 +41,10 @@
     ) -> http.Request:
         """Returns the request as the backend server expects it."""
 
-    def read_report(self, head: http.ResponseHead) -> dispatch.LoadReport:
-        """Returns what the response says of the backend server."""
+    def read_report(
+        self, head: http.ResponseHead
+    ) -> dispatch.LoadReport | None:
+        """Returns what the response says of the backend server, if any."""
 
     def is_shed(self, head: http.ResponseHead) -> bool:
         """Whether the backend server says that it did not run the request."""
@@ -79,18 +81,23 @@
             body=request.body,
         )
 
-    def read_report(self, head: http.ResponseHead) -> dispatch.LoadReport:
+    def read_report(
+        self, head: http.ResponseHead
+    ) -> dispatch.LoadReport | None:
         """Reads boot identity, phase and load; wrong values are left out."""
         found = {
             key: value for key, value in head.headers if key in _SERVER_HEADERS
         }
-        in_flight, _, slots = found.get(_LOAD, b"").partition(b"/")
         boot = found.get(_BOOT)
+        phase = _PHASES.get(found.get(_PHASE, b""))
+        if boot is None or phase is None:
+            return None
+        in_flight, _, slots = found.get(_LOAD, b"").partition(b"/")
         return dispatch.LoadReport(
-            boot=None if boot is None else boot.decode("latin-1"),
-            phase=_PHASES.get(found.get(_PHASE, b"")),
-            in_flight=int(in_flight) if in_flight.isdigit() else None,
-            slots=int(slots) if slots.isdigit() else None,
+            boot=boot.decode("latin-1"),
+            phase=phase,
+            in_flight=int(in_flight) if in_flight.isdigit() else 0,
+            slots=int(slots) if slots.isdigit() else 0,
         )
 
     def is_shed(self, head: http.ResponseHead) -> bool:
@@ -106,6 +113,4 @@
 
     def strip_headers(self, headers: http.Headers) -> http.Headers:
         """Leaves out what concerns only the gateway."""
-        return tuple(
-            pair for pair in headers if pair[0] not in _SERVER_HEADERS
-        )
+        return tuple(pair for pair in headers if pair[0] not in _SERVER_HEADERS)
--- a/libs/gateway/src/banyandale_gateway/_callers.py
+++ b/libs/gateway/src/banyandale_gateway/_callers.py
@@ -7,12 +7,13 @@
 import urllib.parse
 
 from absl import logging
+import curio
+import curio.io
+
 import banyandale_core as core
 from banyandale_gateway import _calls as calls
 from banyandale_gateway import _errors as errors
 import banyandale_http as http
-import curio
-import curio.io
 
 # A caller's connection without a request for this long is closed.
 IDLE_SECONDS = 60.0
--- a/libs/gateway/src/banyandale_gateway/_errors.py
+++ b/libs/gateway/src/banyandale_gateway/_errors.py
@@ -86,6 +86,12 @@
     code = "home_busy"
 
 
+class NoServerHereError(HomeUnavailableError):
+    """No backend server of the home can take the request."""
+
+    code = "no_server"
+
+
 class PeerUnreachableError(HomeUnavailableError):
     """The link to the peer failed before the request was sent."""
 
@@ -134,6 +140,12 @@
     code = "backend_shed"
 
 
+class StaleAssignmentError(HomeUnavailableError):
+    """The backend server turned cold or started leaving before the send."""
+
+    code = "stale_assignment"
+
+
 class ServerLostError(AttemptError):
     """The connection to the backend server could not be opened."""
 
@@ -150,9 +162,7 @@
     code = "backend_failed"
     status = 502
 
-    def __init__(
-        self, message: str, *, cause: str, run: core.RunMark
-    ) -> None:
+    def __init__(self, message: str, *, cause: str, run: core.RunMark) -> None:
         super().__init__(message, run=run)
         self.cause = cause
 
--- a/libs/gateway/src/banyandale_gateway/_handler.py
+++ b/libs/gateway/src/banyandale_gateway/_handler.py
@@ -66,9 +66,7 @@
         self._metrics.incr(f"request.{call.service.name}")
         answer = await self._router.route(call)
         elapsed = time.monotonic() - started_at
-        self._metrics.timing(
-            f"latency.{call.service.name}", elapsed * 1000
-        )
+        self._metrics.timing(f"latency.{call.service.name}", elapsed * 1000)
         return answer
 
     def _build_call(self, request: http.Request) -> calls.Call:
--- a/libs/gateway/src/banyandale_gateway/_homes.py
+++ b/libs/gateway/src/banyandale_gateway/_homes.py
@@ -41,9 +41,7 @@
         *,
         gateway_id: str,
         ownership: HomeOwnership,
-        build_dispatcher: Callable[
-            [config.Service, str], dispatch.Dispatcher
-        ],
+        build_dispatcher: Callable[[config.Service, str], dispatch.Dispatcher],
         metrics: core.Metrics,
     ) -> None:
         self._gateway_id = gateway_id
@@ -122,9 +120,7 @@
 ) -> tuple[str, ...]:
     """Returns the zones in service that have servers of the service."""
     zones = {server.zone for server in service.servers}
-    return tuple(
-        sorted(zone for zone in zones if snapshot.is_zone_in(zone))
-    )
+    return tuple(sorted(zone for zone in zones if snapshot.is_zone_in(zone)))
 
 
 def select_servers(
--- a/libs/gateway/src/banyandale_gateway/_local.py
+++ b/libs/gateway/src/banyandale_gateway/_local.py
@@ -80,9 +80,7 @@
             "service": service,
             "zone": zone,
             "addresses": addresses,
-            "valid_until": round(
-                self._clock.unix() + lookup.VALID_SECONDS, 3
-            ),
+            "valid_until": round(self._clock.unix() + lookup.VALID_SECONDS, 3),
         }
         max_age = f"max-age={int(lookup.VALID_SECONDS)}".encode()
         return _build_response(body, ((b"cache-control", max_age),))
--- /dev/null
+++ b/libs/gateway/src/banyandale_gateway/_peers.py
@@ -0,0 +1,178 @@
+"""Passes calls to homes that other gateways hold."""
+
+from collections.abc import Iterable
+import dataclasses
+
+import banyandale_core as core
+from banyandale_gateway import _backends as backends
+from banyandale_gateway import _calls as calls
+from banyandale_gateway import _errors as errors
+from banyandale_gateway import _router as router
+import banyandale_http as http
+import banyandale_peer as peer
+
+# Added to the cost of a home for each call that was passed to it after its
+# last report and found no free slot there.
+EXCESS_CALL_SECONDS = 0.005
+# Codes of refusals after which another home may take the call.
+REROUTABLE_CODES = frozenset(
+    {
+        errors.NotHomeError.code,
+        errors.HomeBusyError.code,
+        errors.NoServerHereError.code,
+        errors.LeaseExpiredError.code,
+        errors.StaleAssignmentError.code,
+        "queue_full",
+        "displaced",
+        "deadline_unreachable",
+    }
+)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Pending:
+    """Calls passed to a home since its last report."""
+
+    report: peer.HomeReport
+    count: int = 0
+
+
+class PeerHomes:
+    """The homes of other gateways, as the router uses them."""
+
+    def __init__(self, *, node: peer.PeerNode, metrics: core.Metrics) -> None:
+        self._node = node
+        self._metrics = metrics
+        self._pending: dict[tuple[str, str, str], _Pending] = {}
+
+    def homes_of(self, service: str) -> tuple[router.RemoteHome, ...]:
+        """Returns the homes that reachable peers hold, cheapest first."""
+        found = [
+            router.RemoteHome(
+                peer_id=state.gateway_id,
+                zone=report.zone,
+                cost=self._estimate_cost(state, report),
+            )
+            for state in self._node.peers()
+            if not state.suspected and state.heartbeat is not None
+            for report in state.heartbeat.homes
+            if report.service == service
+        ]
+        found.sort(key=lambda home: home.cost)
+        return tuple(found)
+
+    def _estimate_cost(
+        self, state: peer.PeerState, report: peer.HomeReport
+    ) -> float:
+        key = (state.gateway_id, report.service, report.zone)
+        pending = self._pending.get(key)
+        excess = 0
+        if pending is not None and pending.report is report:
+            excess = max(0, pending.count - report.free_slots)
+        round_trip = state.round_trip or 0.0
+        return report.wait + round_trip + excess * EXCESS_CALL_SECONDS
+
+    def _note_forward(self, call: calls.Call, home: router.RemoteHome) -> None:
+        key = (home.peer_id, call.service.name, home.zone)
+        report = self._find_report(*key)
+        if report is None:
+            return
+        pending = self._pending.get(key)
+        if pending is None or pending.report is not report:
+            pending = _Pending(report=report)
+            self._pending[key] = pending
+        pending.count += 1
+
+    def _find_report(
+        self, peer_id: str, service: str, zone: str
+    ) -> peer.HomeReport | None:
+        for state in self._node.peers():
+            if state.gateway_id == peer_id and state.heartbeat is not None:
+                for report in state.heartbeat.homes:
+                    if report.service == service and report.zone == zone:
+                        return report
+        return None
+
+    async def forward(
+        self, call: calls.Call, home: router.RemoteHome
+    ) -> calls.Answer:
+        """Passes a call to a home.
+
+        Raises:
+            CallError: The home refused it, or the link failed.
+        """
+        self._note_forward(call, home)
+        request = call.request
+        headers = _drop_headers(request.headers, {backends.REQUEST_ID})
+        try:
+            answer = await self._node.call(
+                home.peer_id,
+                peer.CallRequest(
+                    service=call.service.name,
+                    zone=home.zone,
+                    method=request.method,
+                    target=request.target,
+                    headers=(
+                        *headers,
+                        (backends.REQUEST_ID, call.id.encode()),
+                    ),
+                    body=request.body,
+                    deadline=call.deadline,
+                    attempt=call.attempt,
+                    hop=call.hop + 1,
+                ),
+            )
+        except peer.RemoteError as error:
+            raise _translate_remote(error) from error
+        except peer.PeerError as error:
+            raise _translate_link(error) from error
+        return calls.Answer(
+            head=http.ResponseHead(
+                status=answer.status,
+                headers=answer.headers,
+                length=answer.length,
+            ),
+            body=answer.body or b"",
+            rest=None if answer.chunks is None else _Rest(answer.chunks),
+        )
+
+
+class _Rest:
+    """Rest of a body that comes over a call link."""
+
+    def __init__(self, chunks: peer.ChunkReader) -> None:
+        self._chunks = chunks
+
+    async def read_chunk(self) -> bytes:
+        try:
+            return await self._chunks.read_chunk()
+        except peer.PeerError as error:
+            raise errors.ExchangeFailedError(
+                str(error), cause=error.code, run=core.RunMark.UNKNOWN
+            ) from error
+
+    async def close(self) -> None:
+        await self._chunks.close()
+
+
+def _translate_remote(error: peer.RemoteError) -> errors.CallError:
+    if error.run is core.RunMark.NOT_RUN and (
+        error.remote_code in REROUTABLE_CODES
+    ):
+        return errors.HomeBusyError(str(error))
+    return errors.RemoteCallError(
+        str(error), remote_code=error.remote_code, run=error.run
+    )
+
+
+def _translate_link(error: peer.PeerError) -> errors.CallError:
+    if error.run is core.RunMark.NOT_RUN:
+        return errors.PeerUnreachableError(str(error))
+    return errors.ExchangeFailedError(
+        str(error), cause=error.code, run=error.run
+    )
+
+
+def _drop_headers(headers: http.Headers, names: Iterable[bytes]) -> tuple:
+    dropped = frozenset(names)
+    return tuple(pair for pair in headers if pair[0] not in dropped)
--- a/libs/gateway/src/banyandale_gateway/_router.py
+++ b/libs/gateway/src/banyandale_gateway/_router.py
@@ -2,9 +2,12 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 import time
 from typing import Protocol
 
+import curio
+
 import banyandale_core as core
 import banyandale_dispatch as dispatch
 from banyandale_gateway import _calls as calls
@@ -12,7 +15,6 @@
 from banyandale_gateway import _homes as homes
 from banyandale_gateway import _sender as sender
 import banyandale_retry as retry
-import curio
 
 # A call moves on to another home at most this often when a home refuses it
 # without running it.
@@ -24,6 +26,10 @@
 OVERFLOW_MARGIN_SECONDS = 0.001
 
 
+# Stands for this gateway where gateways are named.
+LOCAL = ""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RemoteHome:
     """A home that a peer holds.
@@ -45,9 +51,7 @@
     """What a call has tried so far."""
 
     failed_servers: set[str] = dataclasses.field(default_factory=set)
-    refused_homes: set[tuple[str, str]] = dataclasses.field(
-        default_factory=set
-    )
+    refused_homes: set[tuple[str, str]] = dataclasses.field(default_factory=set)
     reroutes: int = 0
 
 
@@ -57,9 +61,7 @@
     def homes_of(self, service: str) -> tuple[RemoteHome, ...]:
         """Returns the homes that reachable peers hold, cheapest first."""
 
-    async def forward(
-        self, call: calls.Call, home: RemoteHome
-    ) -> calls.Answer:
+    async def forward(self, call: calls.Call, home: RemoteHome) -> calls.Answer:
         """Passes a call on.
 
         Raises:
@@ -125,23 +127,19 @@
         progress: _Progress,
         budget: retry.RetryBudget,
     ) -> bool:
+        if time.monotonic() >= call.deadline:
+            return False
         if isinstance(error, errors.HomeUnavailableError):
             progress.reroutes += 1
             if progress.reroutes > MAX_REROUTES:
                 return False
             self._metrics.incr(f"reroute.{error.code}")
             return True
-        if not isinstance(error, errors.AttemptError):
-            return False
-        if error.run is core.RunMark.UNKNOWN and not call.idempotent:
-            return False
-        if call.attempt > 1:
-            self._metrics.incr("retry_denied.not_first_attempt")
-            return False
-        if time.monotonic() >= call.deadline:
-            return False
-        if not budget.try_spend():
-            self._metrics.incr("retry_denied.budget")
+        denial = _find_retry_denial(call, error)
+        if denial is None and not budget.try_spend():
+            denial = "budget"
+        if denial is not None:
+            self._metrics.incr(f"retry_denied.{denial}")
             return False
         self._metrics.incr(f"retry.{error.code}")
         return True
@@ -149,44 +147,49 @@
     async def _try_home(
         self, call: calls.Call, progress: _Progress
     ) -> calls.Answer:
-        local, remote = await self._find_homes(call, progress)
-        if local is None:
-            return await self._forward(call, remote, progress)
-        if remote is not None:
-            local_cost = _local_cost(local)
-            if local_cost > remote.cost + OVERFLOW_MARGIN_SECONDS:
-                self._metrics.incr("overflow")
-                return await self._forward(call, remote, progress)
-        return await self._try_local(call, local, progress)
-
-    async def _find_homes(
-        self, call: calls.Call, progress: _Progress
-    ) -> tuple[homes.Home | None, RemoteHome | None]:
-        """Returns the best local and the best remote home.
+        """Uses the home with the shortest wait.
 
-        Waits while there is neither, since a home that was lost is taken
-        over within seconds.
+        Waits while there is none, since a home that was lost is taken over
+        within seconds.
         """
         name = call.service.name
         while True:
-            local = min(
-                self._homes.homes_of(name), key=_local_cost, default=None
-            )
-            remote = next(
-                (
-                    home
-                    for home in self._peers.homes_of(name)
-                    if (home.peer_id, home.zone) not in progress.refused_homes
-                ),
-                None,
-            )
-            if local is not None or remote is not None:
-                return local, remote
+            local = self._find_local(name, progress)
+            wait = math.inf if local is None else _local_cost(local)
+            if wait <= OVERFLOW_MARGIN_SECONDS:
+                return await self._try_local(call, local, progress)
+            remote = self._find_remote(name, progress)
+            if remote is not None and (
+                local is None or wait > remote.cost + OVERFLOW_MARGIN_SECONDS
+            ):
+                if local is not None:
+                    self._metrics.incr("overflow")
+                return await self._forward(call, remote, progress)
+            if local is not None:
+                return await self._try_local(call, local, progress)
             if time.monotonic() + HOME_POLL_SECONDS >= call.deadline:
                 raise errors.NoHomeError(f"no home of {name!r} is reachable")
             progress.refused_homes.clear()
             await curio.sleep(HOME_POLL_SECONDS)
 
+    def _find_local(
+        self, service: str, progress: _Progress
+    ) -> homes.Home | None:
+        usable = [
+            home
+            for home in self._homes.homes_of(service)
+            if (LOCAL, home.zone) not in progress.refused_homes
+        ]
+        return min(usable, key=_local_cost, default=None)
+
+    def _find_remote(
+        self, service: str, progress: _Progress
+    ) -> RemoteHome | None:
+        for home in self._peers.homes_of(service):
+            if (home.peer_id, home.zone) not in progress.refused_homes:
+                return home
+        return None
+
     async def _forward(
         self, call: calls.Call, home: RemoteHome, progress: _Progress
     ) -> calls.Answer:
@@ -201,20 +204,23 @@
         self, call: calls.Call, home: homes.Home, progress: _Progress
     ) -> calls.Answer:
         dispatcher = home.dispatcher
+        dispatcher.allow_cold = self._homes.has_lease(home)
         try:
             assignment = await dispatcher.acquire(
                 deadline=call.deadline,
                 priority=call.service.priority,
                 exclude=frozenset(progress.failed_servers),
-                allow_cold=self._homes.has_lease(home),
             )
+        except dispatch.NoServerError as error:
+            progress.refused_homes.add((LOCAL, home.zone))
+            raise errors.NoServerHereError(str(error)) from error
         except dispatch.DispatchError as error:
             raise errors.QueueRefusedError(error) from error
         attempt = self._sender.prepare(
             call, assignment=assignment, dispatcher=dispatcher
         )
         try:
-            await attempt.start(self._build_guard(home, assignment))
+            await attempt.start(self._build_guard(home, attempt))
             if call.idempotent and call.attempt == 1:
                 return await self._finish_hedged(call, home, attempt)
             return await attempt.finish()
@@ -223,10 +229,12 @@
             raise
 
     def _build_guard(
-        self, home: homes.Home, assignment: dispatch.Assignment
+        self, home: homes.Home, attempt: sender.Attempt
     ) -> Callable[[], bool]:
         def may_send() -> bool:
-            return not assignment.is_cold or self._homes.has_lease(home)
+            return home.dispatcher.is_warm(attempt.address) or (
+                self._homes.has_lease(home)
+            )
 
         return may_send
 
@@ -258,11 +266,11 @@
         hedge = self._sender.prepare(
             call, assignment=assignment, dispatcher=home.dispatcher
         )
-        if assignment.is_cold or not budget.try_spend():
+        if not budget.try_spend():
             await hedge.close()
             return None
         try:
-            await hedge.start(self._build_guard(home, assignment))
+            await hedge.start(self._build_guard(home, hedge))
         except errors.CallError:
             return None
         except BaseException:
@@ -308,3 +316,14 @@
 
 def _local_cost(home: homes.Home) -> float:
     return home.dispatcher.estimate_wait()
+
+
+def _find_retry_denial(call: calls.Call, error: errors.CallError) -> str | None:
+    """Returns why a call must not be tried again, or None."""
+    if not isinstance(error, errors.AttemptError):
+        return "refused"
+    if error.run is core.RunMark.UNKNOWN and not call.idempotent:
+        return "not_idempotent"
+    if call.attempt > 1:
+        return "not_first_attempt"
+    return None
--- a/libs/gateway/src/banyandale_gateway/_sender.py
+++ b/libs/gateway/src/banyandale_gateway/_sender.py
@@ -9,7 +9,6 @@
 from banyandale_gateway import _calls as calls
 from banyandale_gateway import _errors as errors
 import banyandale_http as http
-import curio
 
 # A response up to this size is read whole before the caller gets its first
 # byte, so that a truncated one can still be retried.
@@ -68,28 +67,30 @@
             await self._start(may_send)
         except http.ConnectError as error:
             self._dispatcher.mark_lost(self.address)
-            await self._end(dispatch.Outcome.LOST)
+            await self._end(dispatch.OutcomeKind.LOST)
             raise errors.ServerLostError(str(error)) from error
         except http.SendError as error:
             self._dispatcher.mark_lost(self.address)
-            await self._end(dispatch.Outcome.LOST)
+            await self._end(dispatch.OutcomeKind.LOST)
             raise errors.ExchangeFailedError(
                 str(error), cause=error.code, run=error.run
             ) from error
         except errors.CallError:
-            await self._end(dispatch.Outcome.CANCELLED)
+            await self._end(dispatch.OutcomeKind.CANCELLED)
             raise
         except BaseException:
-            await self._end(dispatch.Outcome.CANCELLED)
+            await self._end(dispatch.OutcomeKind.CANCELLED)
             raise
 
     async def _start(self, may_send: Callable[[], bool]) -> None:
         deadline = min(self._call.deadline, time.monotonic() + CONNECT_SECONDS)
+        if not self._pool.is_connected:
+            self._dispatcher.mark_unverified(self.address)
         self._connection = await self._pool.acquire(
             deadline=deadline, proved=not self._call.idempotent
         )
         if self._pool.take_lost():
-            self._dispatcher.mark_lost(self.address)
+            self._dispatcher.mark_unverified(self.address)
         request = self._protocol.build_request(
             self._call.request,
             request_id=self._call.id,
@@ -99,8 +100,8 @@
             attempt=self._call.attempt,
         )
         if not self._dispatcher.is_current(self._assignment):
-            raise errors.ServerLostError(
-                f"{self.address} may have restarted before the send"
+            raise errors.StaleAssignmentError(
+                f"{self.address} turned cold or started leaving"
             )
         if not may_send():
             raise errors.LeaseExpiredError(
@@ -115,7 +116,7 @@
         try:
             return await self._connection.wait_readable(deadline=deadline)
         except BaseException:
-            await self._end(dispatch.Outcome.CANCELLED)
+            await self._end(dispatch.OutcomeKind.CANCELLED)
             raise
 
     async def finish(self) -> calls.Answer:
@@ -128,22 +129,22 @@
             return await self._finish()
         except http.ResponseTimeoutError as error:
             await self._pool.clear()
-            await self._end(dispatch.Outcome.TIMED_OUT)
+            await self._end(dispatch.OutcomeKind.TIMED_OUT)
             raise errors.ExchangeTimeoutError(
                 str(error), cause=error.code, run=error.run
             ) from error
         except http.HttpError as error:
             if isinstance(error, http.TruncatedResponseError):
                 self._dispatcher.mark_lost(self.address)
-            await self._end(dispatch.Outcome.LOST)
+            await self._end(dispatch.OutcomeKind.LOST)
             raise errors.ExchangeFailedError(
                 str(error), cause=error.code, run=error.run
             ) from error
         except errors.CallError:
-            await self._end(dispatch.Outcome.FAILED)
+            await self._end(dispatch.OutcomeKind.FAILED)
             raise
         except BaseException:
-            await self._end(dispatch.Outcome.CANCELLED)
+            await self._end(dispatch.OutcomeKind.CANCELLED)
             raise
 
     async def _finish(self) -> calls.Answer:
@@ -155,10 +156,11 @@
                 run=core.RunMark.UNKNOWN,
             )
         report = self._protocol.read_report(head)
-        self._dispatcher.observe(self.address, report)
+        if report is not None:
+            self._dispatcher.observe(self.address, report)
         body, complete = await self._read_first_part()
         if self._protocol.is_shed(head):
-            await self._end(dispatch.Outcome.SHED)
+            await self._end(dispatch.OutcomeKind.SHED)
             raise errors.ShedError(f"{self.address} shed the request")
         head = http.ResponseHead(
             status=head.status,
@@ -166,7 +168,7 @@
             length=head.length,
         )
         if complete:
-            await self._end(dispatch.Outcome.OK)
+            await self._end(dispatch.OutcomeKind.OK)
             return calls.Answer(head=head, body=body)
         return calls.Answer(head=head, body=body, rest=self)
 
@@ -189,30 +191,32 @@
         try:
             chunk = await self._connection.read_chunk(deadline=deadline)
         except http.HttpError as error:
-            await self._end(dispatch.Outcome.LOST)
+            await self._end(dispatch.OutcomeKind.LOST)
             raise errors.ExchangeFailedError(
                 str(error), cause=error.code, run=error.run
             ) from error
         if not chunk:
-            await self._end(dispatch.Outcome.OK)
+            await self._end(dispatch.OutcomeKind.OK)
         return chunk
 
     async def close(self) -> None:
         """Gives up; closing the connection cancels the work."""
-        await self._end(dispatch.Outcome.CANCELLED)
+        await self._end(dispatch.OutcomeKind.CANCELLED)
 
-    async def _end(self, outcome: dispatch.Outcome) -> None:
+    async def _end(self, outcome: dispatch.OutcomeKind) -> None:
         if self._released:
             return
         self._released = True
-        self._dispatcher.release(self._assignment, outcome)
+        self._dispatcher.release(
+            self._assignment, dispatch.Outcome(kind=outcome)
+        )
         if self._connection is None:
             return
         # Neither call waits for the network.
-        if outcome in (dispatch.Outcome.OK, dispatch.Outcome.SHED):
+        if outcome in (dispatch.OutcomeKind.OK, dispatch.OutcomeKind.SHED):
             await self._pool.release(self._connection)
         else:
-            await self._connection.close()
+            await self._pool.discard(self._connection)
 
 
 class Sender:
--- a/libs/gateway/src/banyandale_gateway/_vms.py
+++ b/libs/gateway/src/banyandale_gateway/_vms.py
@@ -3,9 +3,10 @@
 from collections.abc import Callable
 
 from absl import logging
+import curio
+
 import banyandale_core as core
 import banyandale_platform as platform
-import curio
 
 # A VM that starts leaving must get no new work after 3 s. One period of this
 # and the lag of the list have to fit in.
--- a/libs/http/src/banyandale_http/_client.py
+++ b/libs/http/src/banyandale_http/_client.py
@@ -4,8 +4,8 @@
 from typing import Self
 
 import curio
-import curio.io
 from curio import traps
+import curio.io
 import h11
 
 import banyandale_core as core
--- a/libs/http/src/banyandale_http/_pool.py
+++ b/libs/http/src/banyandale_http/_pool.py
@@ -25,6 +25,7 @@
             collections.deque()
         )
         self._lost = False
+        self._in_use = 0
 
     async def acquire(
         self, *, deadline: float, proved: bool = False
@@ -45,15 +46,29 @@
             connection = self._idle.pop()
             reusable = connection.is_reusable
             if reusable and connection.proved_at >= oldest:
+                self._in_use += 1
                 return connection
             self._lost = self._lost or not reusable
             await connection.close()
-        return await client.ClientConnection.open(
+        connection = await client.ClientConnection.open(
             address=self._address, source=self._source, deadline=deadline
         )
+        self._in_use += 1
+        return connection
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether a connection is idle or in use."""
+        return self._in_use > 0 or bool(self._idle)
+
+    async def discard(self, connection: client.ClientConnection) -> None:
+        """Closes a connection, which cancels a request in flight."""
+        self._in_use -= 1
+        await connection.close()
 
     async def release(self, connection: client.ClientConnection) -> None:
         """Puts a connection back, or closes it when it cannot be reused."""
+        self._in_use -= 1
         if connection.is_reusable and len(self._idle) < self._limit:
             self._idle.append(connection)
         else:
