platform: add clients, call budget, Writer and the stand-in

Cause: leases, configuration and claims need the platform's object API, and tests of other libraries need one that can fail. Change: ObjectStore and VmList protocols with HTTP clients; wire.py holds all paths, headers and JSON; CountedStore counts calls by operation and kind and refuses calls over the budget, except for required kinds; Writer names writer and attempt and resolves lost responses by reading back. The memory store in banyandale_platform.testing also backs the HTTP stand-in. Conclusion: the lease library can be built on it.

--- a/libs/platform/src/banyandale_platform/__init__.py
+++ b/libs/platform/src/banyandale_platform/__init__.py
@@ -1,1 +1,51 @@
-"""Clients for the platform: object store and VM list."""
+"""Clients for the platform: object store and VM list.
+
+`banyandale_platform.testing` holds an in-memory platform for tests, and
+`banyandale_platform.wire` the form of the HTTP API.
+"""
+
+from banyandale_platform._client import HttpObjectStore
+from banyandale_platform._client import HttpVmList
+from banyandale_platform._counting import CallBudget
+from banyandale_platform._counting import CountedStore
+from banyandale_platform._errors import CallBudgetError
+from banyandale_platform._errors import ConflictError
+from banyandale_platform._errors import OutcomeUnknownError
+from banyandale_platform._errors import PlatformError
+from banyandale_platform._errors import StoreRejectedError
+from banyandale_platform._errors import StoreUnavailableError
+from banyandale_platform._errors import WatchExpiredError
+from banyandale_platform._objects import Change
+from banyandale_platform._objects import Changes
+from banyandale_platform._objects import ChangeType
+from banyandale_platform._objects import Listing
+from banyandale_platform._objects import StoredObject
+from banyandale_platform._objects import Vm
+from banyandale_platform._protocols import ObjectStore
+from banyandale_platform._protocols import VmList
+from banyandale_platform._writes import decode_fields
+from banyandale_platform._writes import Writer
+
+__all__ = [
+    "CallBudget",
+    "CallBudgetError",
+    "Change",
+    "ChangeType",
+    "Changes",
+    "ConflictError",
+    "CountedStore",
+    "HttpObjectStore",
+    "HttpVmList",
+    "Listing",
+    "ObjectStore",
+    "OutcomeUnknownError",
+    "PlatformError",
+    "StoreRejectedError",
+    "StoreUnavailableError",
+    "StoredObject",
+    "Vm",
+    "VmList",
+    "WatchExpiredError",
+    "Writer",
+    "decode_fields",
+]
--- /dev/null
+++ b/libs/platform/src/banyandale_platform/testing.py
@@ -0,0 +1,231 @@
+"""In-memory platform with switchable faults, for tests and the stand-in."""
+
+import collections
+from collections.abc import Sequence
+import dataclasses
+
+import curio
+
+import banyandale_core as core
+from banyandale_platform import _errors as errors
+from banyandale_platform import _objects as objects
+
+KEPT_CHANGES = 10_000
+
+
+@dataclasses.dataclass(kw_only=True)
+class Faults:
+    """Faults that apply to all calls from now on.
+
+    Attributes:
+        down: Calls fail and have no effect; waiting watches end.
+        slow_seconds: Delay of every call before it takes effect.
+        lose_write_responses: Number of writes yet to come that take effect
+            and then fail with `OutcomeUnknownError`.
+    """
+
+    down: bool = False
+    slow_seconds: float = 0.0
+    lose_write_responses: int = 0
+
+    async def apply(self) -> None:
+        """Delays a call or fails it."""
+        if self.slow_seconds:
+            await curio.sleep(self.slow_seconds)
+        if self.down:
+            raise errors.StoreUnavailableError("the store is down")
+
+    def lose_response(self) -> None:
+        """Fails a write after it took effect, while any are to be lost."""
+        if self.lose_write_responses > 0:
+            self.lose_write_responses -= 1
+            raise errors.OutcomeUnknownError("the response was lost")
+
+
+class MemoryStore:
+    """An `ObjectStore` in memory.
+
+    Attributes:
+        faults: Current faults.
+        counts: Calls by operation and kind, such as `update.lease`.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: core.Clock | None = None,
+        faults: Faults | None = None,
+        kept_changes: int = KEPT_CHANGES,
+    ) -> None:
+        """Creates an empty store.
+
+        Args:
+            clock: Decides whether the deadline of a watch has passed.
+            faults: Initial faults.
+            kept_changes: Number of changes that a watch can go back.
+        """
+        self._clock = clock or core.SystemClock()
+        self.faults = faults or Faults()
+        self.counts: collections.Counter[str] = collections.Counter()
+        self._version = 0
+        self._objects: dict[str, dict[str, objects.StoredObject]] = {}
+        self._log: collections.deque[objects.Change] = collections.deque(
+            maxlen=kept_changes
+        )
+        self._waiters: set[curio.Event] = set()
+
+    @property
+    def version(self) -> int:
+        """Version of the last change."""
+        return self._version
+
+    def peek(self, *, kind: str, name: str) -> objects.StoredObject | None:
+        """Returns an object without counting a call, even when down."""
+        return self._objects.get(kind, {}).get(name)
+
+    async def get(self, *, kind: str, name: str) -> objects.StoredObject | None:
+        """Returns an object, or None when it does not exist."""
+        await self._start("get", kind)
+        return self.peek(kind=kind, name=name)
+
+    async def list(self, *, kind: str) -> objects.Listing:
+        """Returns all objects of a kind, ordered by name."""
+        await self._start("list", kind)
+        stored = self._objects.get(kind, {})
+        return objects.Listing(
+            version=self._version,
+            objects=tuple(stored[name] for name in sorted(stored)),
+        )
+
+    async def create(
+        self, *, kind: str, name: str, value: bytes
+    ) -> objects.StoredObject:
+        """Writes a new object."""
+        await self._start("create", kind)
+        self._check(kind, name, None)
+        written = self._put(kind, name, value)
+        await self._finish_write()
+        return written
+
+    async def update(
+        self, *, kind: str, name: str, value: bytes, version: int
+    ) -> objects.StoredObject:
+        """Replaces an object that has the given version."""
+        await self._start("update", kind)
+        self._check(kind, name, version)
+        written = self._put(kind, name, value)
+        await self._finish_write()
+        return written
+
+    async def delete(self, *, kind: str, name: str, version: int) -> None:
+        """Deletes an object that has the given version."""
+        await self._start("delete", kind)
+        self._check(kind, name, version)
+        del self._objects[kind][name]
+        self._record(objects.ChangeType.DELETE, kind, name, b"")
+        await self._finish_write()
+
+    async def watch(
+        self, *, kinds: Sequence[str], since: int, deadline: float
+    ) -> objects.Changes:
+        """Waits for changes until the deadline."""
+        await self._start("watch", "+".join(kinds))
+        while True:
+            self._check_kept(since)
+            changes = self._find_changes(kinds, since)
+            remaining = deadline - self._clock.monotonic()
+            if changes or remaining <= 0:
+                return objects.Changes(version=self._version, changes=changes)
+            await self._wait(remaining)
+            await self.faults.apply()
+
+    async def set_down(self, down: bool) -> None:
+        """Starts or ends an outage; a start also ends waiting watches."""
+        self.faults.down = down
+        await self._wake()
+
+    async def _start(self, operation: str, kind: str) -> None:
+        self.counts[f"{operation}.{kind}"] += 1
+        await self.faults.apply()
+
+    async def _finish_write(self) -> None:
+        await self._wake()
+        self.faults.lose_response()
+
+    def _check(self, kind: str, name: str, version: int | None) -> None:
+        current = self.peek(kind=kind, name=name)
+        if (None if current is None else current.version) != version:
+            raise errors.ConflictError(
+                f"{kind}/{name}: the condition does not hold", current=current
+            )
+
+    def _put(self, kind: str, name: str, value: bytes) -> objects.StoredObject:
+        written = self._record(objects.ChangeType.PUT, kind, name, value)
+        self._objects.setdefault(kind, {})[name] = written
+        return written
+
+    def _record(
+        self, change: objects.ChangeType, kind: str, name: str, value: bytes
+    ) -> objects.StoredObject:
+        self._version += 1
+        written = objects.StoredObject(
+            kind=kind, name=name, version=self._version, value=value
+        )
+        self._log.append(objects.Change(type=change, object=written))
+        return written
+
+    def _check_kept(self, since: int) -> None:
+        oldest = self._log[0].object.version if self._log else 1
+        if since > self._version or since < oldest - 1:
+            raise errors.WatchExpiredError(
+                f"changes since version {since} are not kept"
+            )
+
+    def _find_changes(
+        self, kinds: Sequence[str], since: int
+    ) -> tuple[objects.Change, ...]:
+        found = []
+        for change in reversed(self._log):
+            if change.object.version <= since:
+                break
+            if change.object.kind in kinds:
+                found.append(change)
+        return tuple(reversed(found))
+
+    async def _wait(self, seconds: float) -> None:
+        event = curio.Event()
+        self._waiters.add(event)
+        try:
+            async with curio.ignore_after(seconds):
+                await event.wait()
+        finally:
+            self._waiters.discard(event)
+
+    async def _wake(self) -> None:
+        for event in tuple(self._waiters):
+            await event.set()
+
+
+class MemoryVmList:
+    """A `VmList` in memory.
+
+    Attributes:
+        faults: Current faults.
+        vms: The VMs that `fetch` returns.
+    """
+
+    def __init__(
+        self,
+        *,
+        vms: Sequence[objects.Vm] = (),
+        faults: Faults | None = None,
+    ) -> None:
+        self.vms = tuple(vms)
+        self.faults = faults or Faults()
+        self.fetches = 0
+
+    async def fetch(self) -> tuple[objects.Vm, ...]:
+        """Returns all VMs."""
+        self.fetches += 1
+        await self.faults.apply()
+        return self.vms
