peer: Add control links and call links between gateways

The gateway needs to forward requests to the home of a zone, exchange heartbeats, and send small requests to its peers.

PeerNode listens for peers, keeps one control link per pair (dialled by the smaller id) and a pool of call connections per peer. Every connection starts with a proof of the shared secret in both directions; both proofs name their role and cover both nonces, both ids and the link kind. A call is accepted by the listener before it starts, so that a silent connection is found after 0.5 s instead of at the deadline.

--- /dev/null
+++ b/libs/peer/src/banyandale_peer/_calls.py
@@ -0,0 +1,378 @@
+"""Dialer's side of call links: one call at a time per connection."""
+
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import itertools
+import time
+from typing import Any
+
+import curio
+
+import banyandale_core as core
+from banyandale_peer import _connections as connections
+from banyandale_peer import _errors as errors
+from banyandale_peer import _messages as messages
+
+CHUNK_BYTES = 65536
+# The listener sends `accepted` before it starts the call, so its absence
+# tells a silent link from a slow call.
+ACCEPT_SECONDS = 0.5
+CONNECT_SECONDS = 1.0
+# An idle connection that was last heard of longer ago is asked first.
+PROVED_SECONDS = 1.0
+PING_SECONDS = 0.25
+MAX_IDLE_SECONDS = 30.0
+MAX_IDLE_CONNECTIONS = 64
+MAX_CONNECTIONS = 512
+
+UNKNOWN = core.RunMark.UNKNOWN
+NOT_RUN = core.RunMark.NOT_RUN
+
+_call_ids = itertools.count(1)
+
+
+class CallConnection:
+    """One connection to a peer that carries one call at a time.
+
+    Attributes:
+        proved_at: Monotonic seconds when the peer was last heard of.
+    """
+
+    def __init__(
+        self, *, connection: connections.Connection, clock: core.Clock
+    ) -> None:
+        self._connection = connection
+        self._clock = clock
+        self._call_id = 0
+        self._whole_sent = False
+        self.proved_at = time.monotonic()
+
+    def is_reusable(self) -> bool:
+        """Whether another call may be sent, as far as this side can tell."""
+        return self._connection.is_quiet()
+
+    async def ping(self, *, deadline: float) -> bool:
+        """Returns whether the peer answers before the deadline."""
+        try:
+            async with core.timeout_at(deadline):
+                await self._connection.send(messages.PING)
+                answered = await self._connection.receive() == messages.PONG
+        except (errors.PeerError, curio.TaskTimeout):
+            return False
+        self.proved_at = time.monotonic()
+        return answered
+
+    async def send_call(
+        self, request: messages.CallRequest
+    ) -> messages.AnswerHead:
+        """Sends a call and returns the head of its answer.
+
+        Raises:
+            LinkSilentError: Not accepted in time.
+            PeerTimeoutError: No answer before the deadline.
+            LinkClosedError: The connection failed.
+            RemoteError: The peer answered with an error.
+        """
+        self._call_id = next(_call_ids)
+        self._whole_sent = False
+        try:
+            async with core.timeout_at(request.deadline):
+                await self._send_request(request)
+                await self._read_accepted(request.deadline)
+                head = await self.read_message()
+        except curio.TaskTimeout as error:
+            raise errors.PeerTimeoutError(
+                "no answer before the deadline", run=self._run_mark()
+            ) from error
+        except errors.LinkClosedError as error:
+            raise errors.LinkClosedError(
+                str(error), run=self._run_mark()
+            ) from error
+        if not isinstance(head, messages.AnswerHead):
+            raise errors.FrameError(
+                f"unexpected {type(head).__name__}", run=UNKNOWN
+            )
+        self._check_id(head.id)
+        return head
+
+    def _run_mark(self) -> core.RunMark:
+        # The peer starts a call only after the last piece of its body.
+        return UNKNOWN if self._whole_sent else NOT_RUN
+
+    def _check_id(self, call_id: int) -> None:
+        if call_id != self._call_id:
+            raise errors.FrameError(
+                f"answer {call_id} came for call {self._call_id}", run=UNKNOWN
+            )
+
+    async def _send_request(self, request: messages.CallRequest) -> None:
+        body = request.body
+        first = body[:CHUNK_BYTES]
+        whole = len(first) == len(body)
+        if not whole:
+            request = dataclasses.replace(request, body=first)
+        head = messages.CallHead(
+            id=self._call_id,
+            request=request,
+            deadline_unix_ms=core.deadline_to_unix_ms(
+                request.deadline, self._clock
+            ),
+            last=whole,
+        )
+        self._whole_sent = whole
+        await self._connection.send(messages.encode_call_head(head))
+        for start in range(len(first), len(body), CHUNK_BYTES):
+            end = start + CHUNK_BYTES
+            self._whole_sent = end >= len(body)
+            await self._connection.send(
+                messages.encode_body_chunk(
+                    body[start:end], last=self._whole_sent
+                )
+            )
+
+    async def _read_accepted(self, deadline: float) -> None:
+        wait = time.monotonic() + ACCEPT_SECONDS
+        try:
+            async with core.timeout_at(min(wait, deadline)):
+                frame = await self._connection.receive()
+        except curio.TaskTimeout as error:
+            raise errors.LinkSilentError(
+                "the call was not accepted in time", run=self._run_mark()
+            ) from error
+        if frame != messages.ACCEPTED:
+            self._raise_remote(messages.decode(frame))
+            raise errors.FrameError("the call was not accepted", run=UNKNOWN)
+
+    async def read_message(self) -> Any:
+        """Returns the next message of the answer; raises a remote error."""
+        frame = await self._connection.receive()
+        try:
+            message = messages.decode(frame)
+        except errors.FrameError as error:
+            raise errors.FrameError(str(error), run=UNKNOWN) from error
+        self._raise_remote(message)
+        return message
+
+    def _raise_remote(self, message: Any) -> None:
+        if isinstance(message, messages.CallError):
+            self._check_id(message.id)
+            raise errors.RemoteError(message.code, run=message.run)
+
+    def check_end(self, end: messages.AnswerEnd, size: int) -> None:
+        """Checks that an end belongs to this call and its body is whole."""
+        self._check_id(end.id)
+        if end.body_bytes != size:
+            raise errors.FrameError(
+                f"body of {end.body_bytes} bytes came as {size}", run=UNKNOWN
+            )
+
+    async def close(self) -> None:
+        """Closes the connection, which cancels a call in progress."""
+        await self._connection.close()
+
+
+class CallPool:
+    """Call connections to one peer, the newest first."""
+
+    def __init__(
+        self,
+        *,
+        dial: Callable[[float], Awaitable[connections.Connection]],
+        clock: core.Clock,
+        metrics: core.Metrics,
+    ) -> None:
+        self._dial = dial
+        self._clock = clock
+        self._metrics = metrics
+        self._idle: collections.deque[CallConnection] = collections.deque()
+        self._open_count = 0
+        self._closed = False
+
+    async def acquire(self, *, deadline: float) -> CallConnection:
+        """Takes an idle connection that works, or opens one.
+
+        Raises:
+            PeerBusyError: Too many connections are in use.
+            PeerUnreachableError: None could be opened.
+            AuthenticationError: The listener has another secret.
+        """
+        while self._idle:
+            connection = self._idle.pop()
+            usable = False
+            try:
+                usable = await self._is_usable(connection, deadline)
+            finally:
+                if not usable:
+                    await self.discard(connection)
+            if usable:
+                return connection
+        if self._open_count >= MAX_CONNECTIONS:
+            raise errors.PeerBusyError(
+                f"{MAX_CONNECTIONS} calls to this peer are in progress"
+            )
+        self._open_count += 1
+        try:
+            limit = time.monotonic() + CONNECT_SECONDS
+            connection = await self._dial(min(limit, deadline))
+        except BaseException:
+            self._open_count -= 1
+            raise
+        return CallConnection(connection=connection, clock=self._clock)
+
+    async def _is_usable(
+        self, connection: CallConnection, deadline: float
+    ) -> bool:
+        if not connection.is_reusable():
+            return False
+        now = time.monotonic()
+        if connection.proved_at >= now - PROVED_SECONDS:
+            return True
+        if connection.proved_at < now - MAX_IDLE_SECONDS:
+            return False
+        if await connection.ping(deadline=min(now + PING_SECONDS, deadline)):
+            return True
+        # The other idle connections are older and take the same path.
+        self._metrics.incr("peer_idle_connection_silent")
+        await self.clear()
+        return False
+
+    async def release(self, connection: CallConnection) -> None:
+        """Puts a connection back after a complete answer."""
+        connection.proved_at = time.monotonic()
+        full = len(self._idle) >= MAX_IDLE_CONNECTIONS
+        if self._closed or full or not connection.is_reusable():
+            await self.discard(connection)
+            return
+        self._idle.append(connection)
+        oldest = self._idle[0]
+        if oldest.proved_at < time.monotonic() - MAX_IDLE_SECONDS:
+            self._idle.popleft()
+            await self.discard(oldest)
+
+    async def discard(self, connection: CallConnection) -> None:
+        """Closes a connection that cannot carry another call."""
+        self._open_count -= 1
+        await connection.close()
+
+    async def clear(self) -> None:
+        """Closes all idle connections."""
+        while self._idle:
+            await self.discard(self._idle.pop())
+
+    async def close(self) -> None:
+        """Closes idle connections now and others after their call."""
+        self._closed = True
+        await self.clear()
+
+
+class AnswerReader:
+    """Reads the rest of an answer; a `ChunkReader`."""
+
+    def __init__(
+        self,
+        *,
+        connection: CallConnection,
+        pool: CallPool,
+        first: bytes,
+        deadline: float,
+    ) -> None:
+        self._connection: CallConnection | None = connection
+        self._pool = pool
+        self._first = first
+        self._size = len(first)
+        self._deadline = deadline
+        self._complete = False
+
+    async def read(self) -> bytes:
+        """Returns the next piece; b"" once the body is complete.
+
+        Raises:
+            PeerTimeoutError: The deadline of the call passed.
+            LinkClosedError: The connection ended within the body.
+            RemoteError: The peer could not complete the body.
+        """
+        if self._first:
+            first, self._first = self._first, b""
+            return first
+        if self._complete:
+            return b""
+        if self._connection is None:
+            raise errors.LinkClosedError("the answer was closed", run=UNKNOWN)
+        try:
+            async with core.timeout_at(self._deadline):
+                message = await self._connection.read_message()
+            return await self._take(message)
+        except curio.TaskTimeout as error:
+            await self.close()
+            raise errors.PeerTimeoutError(
+                "body not complete before the deadline", run=UNKNOWN
+            ) from error
+        except BaseException:
+            await self.close()
+            raise
+
+    async def _take(self, message: Any) -> bytes:
+        if isinstance(message, messages.BodyChunk):
+            self._size += len(message.data)
+            return message.data
+        if not isinstance(message, messages.AnswerEnd):
+            raise errors.FrameError(
+                f"unexpected {type(message).__name__}", run=UNKNOWN
+            )
+        self._connection.check_end(message, self._size)
+        connection, self._connection = self._connection, None
+        self._complete = True
+        await self._pool.release(connection)
+        return b""
+
+    async def close(self) -> None:
+        """Closes the connection unless the body was read completely."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            await self._pool.discard(connection)
+
+
+async def send_call(
+    pool: CallPool, request: messages.CallRequest
+) -> messages.CallAnswer:
+    """Sends a call on a connection of the pool.
+
+    Raises:
+        PeerError: The call failed; `run` says whether it may have run.
+    """
+    connection = await pool.acquire(deadline=request.deadline)
+    try:
+        head = await connection.send_call(request)
+    except errors.LinkSilentError:
+        await pool.discard(connection)
+        await pool.clear()
+        raise
+    except errors.RemoteError:
+        await pool.release(connection)
+        raise
+    except BaseException:
+        await pool.discard(connection)
+        raise
+    if head.last:
+        await pool.release(connection)
+        return messages.CallAnswer(
+            status=head.status,
+            headers=head.headers,
+            length=len(head.body),
+            body=head.body,
+        )
+    reader = AnswerReader(
+        connection=connection,
+        pool=pool,
+        first=head.body,
+        deadline=request.deadline,
+    )
+    return messages.CallAnswer(
+        status=head.status,
+        headers=head.headers,
+        length=head.length,
+        body=None,
+        chunks=reader,
+    )
--- /dev/null
+++ b/libs/peer/src/banyandale_peer/_messages.py
@@ -0,0 +1,522 @@
+"""Messages between gateways as plain data, and their encoding."""
+
+from collections.abc import Callable
+import dataclasses
+import importlib.resources
+import itertools
+from typing import Any
+from typing import Protocol
+
+import capnp
+
+import banyandale_core as core
+from banyandale_peer import _errors as errors
+
+# The hook would make every import in the process look for schema files.
+capnp.remove_import_hook()
+
+_SCHEMA = capnp.load(
+    str(importlib.resources.files("banyandale_peer") / "messages.capnp")
+)
+_MESSAGE = _SCHEMA.Message
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+MICROSECONDS_PER_SECOND = 1_000_000
+MAX_WAIT_US = 2**32 - 1
+UNKNOWN_LENGTH = -1
+
+_MARKS = {
+    "unknown": core.RunMark.UNKNOWN,
+    "notRun": core.RunMark.NOT_RUN,
+}
+_MARK_NAMES = {mark: name for name, mark in _MARKS.items()}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Challenge:
+    """First message of the listener."""
+
+    nonce: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Identify:
+    """Identity and proof of the dialer."""
+
+    gateway_id: str
+    target_id: str
+    link_kind: str
+    nonce: bytes
+    mac: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Welcome:
+    """Proof of the listener."""
+
+    mac: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HomeReport:
+    """Load of one home that a gateway holds.
+
+    Attributes:
+        service: Service name.
+        zone: Availability zone.
+        free_slots: Free slots of its backend servers.
+        queued: Requests that wait in its queue.
+        wait: Estimated waiting time of a new request in seconds.
+    """
+
+    service: str
+    zone: str
+    free_slots: int = 0
+    queued: int = 0
+    wait: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Heartbeat:
+    """What a gateway tells its peers about itself.
+
+    Attributes:
+        gateway_id: Sender.
+        boot: Boot id of its lease.
+        generation: Configuration generation that it has in force.
+        http_address: `ip:port` where callers reach it.
+        leaving: Whether it is shutting down.
+        homes: The homes that it holds.
+    """
+
+    gateway_id: str
+    boot: str
+    generation: int
+    http_address: str
+    leaving: bool = False
+    homes: tuple[HomeReport, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TimedHeartbeat:
+    """A heartbeat with the times that give the round trip time."""
+
+    heartbeat: Heartbeat
+    sent_us: int
+    echo_us: int
+    echo_delay_us: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LoadChange:
+    """Loads that changed since the last heartbeat."""
+
+    homes: tuple[HomeReport, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Request:
+    """A small request on the control link."""
+
+    id: int
+    kind: str
+    payload: bytes
+    deadline_unix_ms: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Reply:
+    """Answer to a `Request`; `error_code` is empty on success."""
+
+    id: int
+    payload: bytes
+    error_code: str
+    run: core.RunMark
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallRequest:
+    """A request that one gateway forwards to another.
+
+    Attributes:
+        service: Service name.
+        zone: Zone of the home that is addressed; empty for any.
+        method: HTTP method.
+        target: HTTP target.
+        headers: Header names in lower case with values.
+        body: The whole body.
+        deadline: Monotonic seconds.
+        attempt: 1 for the first attempt of a request.
+        hop: 1 for the first forward of a request.
+    """
+
+    service: str
+    method: bytes
+    target: bytes
+    deadline: float
+    zone: str = ""
+    headers: Headers = ()
+    body: bytes = b""
+    attempt: int = 1
+    hop: int = 1
+
+
+class ChunkReader(Protocol):
+    """Source of a body that is passed on in pieces."""
+
+    async def read(self) -> bytes:
+        """Returns the next piece; b"" once the body is complete."""
+
+    async def close(self) -> None:
+        """Releases the source; before the end this cancels the call."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallAnswer:
+    """Answer to a `CallRequest`, on both sides of the link.
+
+    Attributes:
+        status: HTTP status.
+        headers: Header names in lower case with values.
+        length: Body length in bytes; None when it is not known yet.
+        body: The whole body, or None when it must be read from `chunks`.
+        chunks: Reader of the body; None when `body` is given.
+    """
+
+    status: int
+    headers: Headers = ()
+    length: int | None = None
+    body: bytes | None = b""
+    chunks: ChunkReader | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallHead:
+    """Start of a call: the request with the first piece of its body."""
+
+    id: int
+    request: CallRequest
+    deadline_unix_ms: int
+    last: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class BodyChunk:
+    """A further piece of a body."""
+
+    data: bytes
+    last: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AnswerHead:
+    """Start of an answer with the first piece of its body."""
+
+    id: int
+    status: int
+    headers: Headers
+    length: int | None
+    body: bytes
+    last: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AnswerEnd:
+    """End of an answer with the length of its whole body."""
+
+    id: int
+    body_bytes: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallError:
+    """The call failed at the peer."""
+
+    id: int
+    code: str
+    run: core.RunMark
+
+
+def _encode_plain(name: str) -> bytes:
+    message = _MESSAGE.new_message()
+    setattr(message, name, None)
+    return message.to_bytes()
+
+
+# These frames have no contents, so they are compared as bytes.
+ACCEPTED = _encode_plain("accepted")
+PING = _encode_plain("ping")
+PONG = _encode_plain("pong")
+
+
+def encode_challenge(challenge: Challenge) -> bytes:
+    """Encodes a `Challenge`."""
+    message = _MESSAGE.new_message()
+    message.init("challenge").nonce = challenge.nonce
+    return message.to_bytes()
+
+
+def encode_identify(identify: Identify) -> bytes:
+    """Encodes an `Identify`."""
+    message = _MESSAGE.new_message()
+    part = message.init("identify")
+    part.gatewayId = identify.gateway_id
+    part.targetId = identify.target_id
+    part.linkKind = identify.link_kind
+    part.nonce = identify.nonce
+    part.mac = identify.mac
+    return message.to_bytes()
+
+
+def encode_welcome(welcome: Welcome) -> bytes:
+    """Encodes a `Welcome`."""
+    message = _MESSAGE.new_message()
+    message.init("welcome").mac = welcome.mac
+    return message.to_bytes()
+
+
+def _fill_homes(parts: Any, homes: tuple[HomeReport, ...]) -> None:
+    for part, home in zip(parts, homes, strict=True):
+        part.service = home.service
+        part.zone = home.zone
+        part.freeSlots = home.free_slots
+        part.queued = home.queued
+        wait_us = home.wait * MICROSECONDS_PER_SECOND
+        part.waitUs = int(min(max(wait_us, 0), MAX_WAIT_US))
+
+
+def encode_heartbeat(timed: TimedHeartbeat) -> bytes:
+    """Encodes a `TimedHeartbeat`."""
+    message = _MESSAGE.new_message()
+    part = message.init("heartbeat")
+    heartbeat = timed.heartbeat
+    part.gatewayId = heartbeat.gateway_id
+    part.boot = heartbeat.boot
+    part.generation = heartbeat.generation
+    part.httpAddress = heartbeat.http_address
+    part.leaving = heartbeat.leaving
+    part.sentUs = timed.sent_us
+    part.echoUs = timed.echo_us
+    part.echoDelayUs = timed.echo_delay_us
+    _fill_homes(part.init("homes", len(heartbeat.homes)), heartbeat.homes)
+    return message.to_bytes()
+
+
+def encode_load_change(change: LoadChange) -> bytes:
+    """Encodes a `LoadChange`."""
+    message = _MESSAGE.new_message()
+    _fill_homes(message.init("loadReport", len(change.homes)), change.homes)
+    return message.to_bytes()
+
+
+def encode_request(request: Request) -> bytes:
+    """Encodes a `Request`."""
+    message = _MESSAGE.new_message()
+    part = message.init("request")
+    part.id = request.id
+    part.kind = request.kind
+    part.payload = request.payload
+    part.deadlineUnixMs = request.deadline_unix_ms
+    return message.to_bytes()
+
+
+def encode_reply(reply: Reply) -> bytes:
+    """Encodes a `Reply`."""
+    message = _MESSAGE.new_message()
+    part = message.init("reply")
+    part.id = reply.id
+    part.payload = reply.payload
+    part.errorCode = reply.error_code
+    part.mark = _MARK_NAMES[reply.run]
+    return message.to_bytes()
+
+
+def encode_call_head(head: CallHead) -> bytes:
+    """Encodes a `CallHead`."""
+    message = _MESSAGE.new_message()
+    part = message.init("callHead")
+    request = head.request
+    part.id = head.id
+    part.service = request.service
+    part.zone = request.zone
+    part.method = request.method
+    part.target = request.target
+    part.headers = list(itertools.chain.from_iterable(request.headers))
+    part.deadlineUnixMs = head.deadline_unix_ms
+    part.attempt = request.attempt
+    part.hop = request.hop
+    part.body = request.body
+    part.last = head.last
+    return message.to_bytes()
+
+
+def encode_body_chunk(data: bytes, *, last: bool = False) -> bytes:
+    """Encodes a `BodyChunk`."""
+    message = _MESSAGE.new_message()
+    part = message.init("bodyChunk")
+    part.data = data
+    part.last = last
+    return message.to_bytes()
+
+
+def encode_answer_head(head: AnswerHead) -> bytes:
+    """Encodes an `AnswerHead`."""
+    message = _MESSAGE.new_message()
+    part = message.init("answerHead")
+    part.id = head.id
+    part.status = head.status
+    part.headers = list(itertools.chain.from_iterable(head.headers))
+    part.length = UNKNOWN_LENGTH if head.length is None else head.length
+    part.body = head.body
+    part.last = head.last
+    return message.to_bytes()
+
+
+def encode_answer_end(end: AnswerEnd) -> bytes:
+    """Encodes an `AnswerEnd`."""
+    message = _MESSAGE.new_message()
+    part = message.init("answerEnd")
+    part.id = end.id
+    part.bodyBytes = end.body_bytes
+    return message.to_bytes()
+
+
+def encode_call_error(error: CallError) -> bytes:
+    """Encodes a `CallError`."""
+    message = _MESSAGE.new_message()
+    part = message.init("callError")
+    part.id = error.id
+    part.code = error.code
+    part.mark = _MARK_NAMES[error.run]
+    return message.to_bytes()
+
+
+def _pair_headers(flat: Any) -> Headers:
+    items = iter(flat)
+    return tuple(zip(items, items, strict=True))
+
+
+def _decode_homes(parts: Any) -> tuple[HomeReport, ...]:
+    return tuple(
+        HomeReport(
+            service=part.service,
+            zone=part.zone,
+            free_slots=part.freeSlots,
+            queued=part.queued,
+            wait=part.waitUs / MICROSECONDS_PER_SECOND,
+        )
+        for part in parts
+    )
+
+
+def _decode_identify(part: Any) -> Identify:
+    return Identify(
+        gateway_id=part.gatewayId,
+        target_id=part.targetId,
+        link_kind=str(part.linkKind),
+        nonce=part.nonce,
+        mac=part.mac,
+    )
+
+
+def _decode_heartbeat(part: Any) -> TimedHeartbeat:
+    heartbeat = Heartbeat(
+        gateway_id=part.gatewayId,
+        boot=part.boot,
+        generation=part.generation,
+        http_address=part.httpAddress,
+        leaving=part.leaving,
+        homes=_decode_homes(part.homes),
+    )
+    return TimedHeartbeat(
+        heartbeat=heartbeat,
+        sent_us=part.sentUs,
+        echo_us=part.echoUs,
+        echo_delay_us=part.echoDelayUs,
+    )
+
+
+def _decode_request(part: Any) -> Request:
+    return Request(
+        id=part.id,
+        kind=part.kind,
+        payload=part.payload,
+        deadline_unix_ms=part.deadlineUnixMs,
+    )
+
+
+def _decode_reply(part: Any) -> Reply:
+    return Reply(
+        id=part.id,
+        payload=part.payload,
+        error_code=part.errorCode,
+        run=_MARKS[str(part.mark)],
+    )
+
+
+def _decode_call_head(part: Any) -> CallHead:
+    # The receiver replaces the deadline, which needs its clock.
+    request = CallRequest(
+        service=part.service,
+        zone=part.zone,
+        method=part.method,
+        target=part.target,
+        headers=_pair_headers(part.headers),
+        body=part.body,
+        deadline=0.0,
+        attempt=part.attempt,
+        hop=part.hop,
+    )
+    return CallHead(
+        id=part.id,
+        request=request,
+        deadline_unix_ms=part.deadlineUnixMs,
+        last=part.last,
+    )
+
+
+def _decode_answer_head(part: Any) -> AnswerHead:
+    length = part.length
+    return AnswerHead(
+        id=part.id,
+        status=part.status,
+        headers=_pair_headers(part.headers),
+        length=None if length == UNKNOWN_LENGTH else length,
+        body=part.body,
+        last=part.last,
+    )
+
+
+_DECODERS: dict[str, Callable[[Any], Any]] = {
+    "challenge": lambda part: Challenge(nonce=part.nonce),
+    "identify": _decode_identify,
+    "welcome": lambda part: Welcome(mac=part.mac),
+    "heartbeat": _decode_heartbeat,
+    "loadReport": lambda part: LoadChange(homes=_decode_homes(part)),
+    "request": _decode_request,
+    "reply": _decode_reply,
+    "callHead": _decode_call_head,
+    "bodyChunk": lambda part: BodyChunk(data=part.data, last=part.last),
+    "answerHead": _decode_answer_head,
+    "answerEnd": lambda part: AnswerEnd(id=part.id, body_bytes=part.bodyBytes),
+    "callError": lambda part: CallError(
+        id=part.id, code=part.code, run=_MARKS[str(part.mark)]
+    ),
+}
+
+
+def decode(frame: bytes) -> Any:
+    """Decodes one message that has contents.
+
+    Raises:
+        FrameError: The bytes are no message, or one without contents.
+    """
+    try:
+        with _MESSAGE.from_bytes(frame) as message:
+            name = message.which()
+            return _DECODERS[name](getattr(message, name))
+    except (capnp.KjException, ValueError, KeyError) as error:
+        # The first line only; the rest are addresses of the C++ stack.
+        reason = str(error).partition("\n")[0]
+        raise errors.FrameError(f"undecodable message: {reason}") from error
--- /dev/null
+++ b/libs/peer/tests/test_node.py
@@ -0,0 +1,365 @@
+"""Tests of calls, requests and heartbeats between two gateways."""
+
+import contextlib
+import time
+
+import curio
+import pytest
+
+import banyandale_core as core
+import banyandale_peer as peer
+
+SECRET = b"secret of the tests"
+
+
+class FixedState:
+    """Heartbeat contents that a test can change."""
+
+    def __init__(self, gateway_id):
+        self.homes = (
+            peer.HomeReport(service="catalogue", zone="a", free_slots=2),
+        )
+        self._gateway_id = gateway_id
+
+    def describe(self):
+        return peer.Heartbeat(
+            gateway_id=self._gateway_id,
+            boot="b1",
+            generation=7,
+            http_address="127.0.0.1:80",
+            homes=self.homes,
+        )
+
+
+def make_node(gateway_id, *, secret=SECRET, listen="127.0.0.1:0"):
+    node = peer.PeerNode(
+        gateway_id=gateway_id,
+        secret=secret,
+        listen_address=listen,
+        state=FixedState(gateway_id),
+        metrics=core.MemoryMetrics(),
+        clock=core.SystemClock(),
+    )
+    node.metrics = node._metrics
+    node.state = node._state
+    return node
+
+
+def soon(seconds=2.0):
+    return time.monotonic() + seconds
+
+
+def make_request(**options):
+    options = {"deadline": soon(), "target": b"/", **options}
+    return peer.CallRequest(service="catalogue", method=b"POST", **options)
+
+
+async def wait_until(condition, seconds=4.0):
+    deadline = soon(seconds)
+    while not condition():
+        assert time.monotonic() < deadline, "condition not reached"
+        await curio.sleep(0.005)
+
+
+@contextlib.asynccontextmanager
+async def linked_nodes(*, handler=None, secret=SECRET):
+    """Runs gateways `a` and `b`, where `b` answers calls by `handler`."""
+    first, second = make_node("a"), make_node("b", secret=secret)
+    second.on_call(handler)
+    addresses = [
+        peer.PeerAddress(gateway_id="a", address=first.listen()),
+        peer.PeerAddress(gateway_id="b", address=second.listen()),
+    ]
+    tasks = []
+    try:
+        for node in (first, second):
+            await node.update_peers(addresses)
+            tasks.append(await curio.spawn(node.run, daemon=True))
+        yield first, second
+    finally:
+        for node in (first, second):
+            await node.stop()
+        for task in tasks:
+            await task.join()
+
+
+async def echo(request):
+    return peer.CallAnswer(
+        status=201,
+        headers=((b"x-target", request.target), *request.headers),
+        body=request.body,
+    )
+
+
+async def read_all(answer):
+    if answer.body is not None:
+        return answer.body
+    pieces = []
+    while piece := await answer.chunks.read():
+        pieces.append(piece)
+    return b"".join(pieces)
+
+
+@pytest.mark.parametrize("size", [0, 10, 65536, 65537, 400_000])
+def test_call_and_answer_are_whole(size):
+    """Guards against a lost or doubled piece at a chunk boundary."""
+    body = bytes(range(256)) * (size // 256) + b"x" * (size % 256)
+
+    async def main():
+        async with linked_nodes(handler=echo) as (first, _):
+            for _ in range(2):  # The second call reuses the connection.
+                answer = await first.call(
+                    "b", make_request(body=body, headers=((b"n", b"v"),))
+                )
+                assert answer.status == 201
+                assert answer.headers == ((b"x-target", b"/"), (b"n", b"v"))
+                assert answer.length == size
+                assert await read_all(answer) == body
+
+    curio.run(main)
+
+
+def test_request_fields_and_deadline_arrive():
+    """Guards against a field lost on the wire or a deadline that moves."""
+    seen = []
+
+    async def handler(request):
+        seen.append(request)
+        return peer.CallAnswer(status=204)
+
+    async def main():
+        async with linked_nodes(handler=handler) as (first, _):
+            request = make_request(zone="z1", attempt=2, hop=1)
+            await first.call("b", request)
+            (arrived,) = seen
+            assert (arrived.zone, arrived.attempt, arrived.hop) == ("z1", 2, 1)
+            assert arrived.method == b"POST"
+            assert abs(arrived.deadline - request.deadline) < 1
+
+    curio.run(main)
+
+
+def test_handler_error_keeps_code_and_mark():
+    """Guards against a refusal that is reported as an unknown outcome."""
+
+    class QueueFullError(core.CodedError):
+        code = "queue_full"
+        run = core.RunMark.NOT_RUN
+
+    async def handler(request):
+        if request.target == b"/refused":
+            raise QueueFullError
+        raise RuntimeError
+
+    async def main():
+        async with linked_nodes(handler=handler) as (first, _):
+            with pytest.raises(peer.RemoteError) as refused:
+                await first.call("b", make_request(target=b"/refused"))
+            assert refused.value.remote_code == "queue_full"
+            assert refused.value.run is core.RunMark.NOT_RUN
+            with pytest.raises(peer.RemoteError) as failed:
+                await first.call("b", make_request())
+            assert failed.value.remote_code == "internal_error"
+            assert failed.value.run is core.RunMark.UNKNOWN
+
+    curio.run(main)
+
+
+@pytest.mark.parametrize("how", ["deadline", "cancel", "close"])
+def test_abandoned_call_cancels_handler(how):
+    """Guards against work that goes on after its caller has left."""
+    cancelled = curio.Event()
+
+    class Endless:
+        async def read(self):
+            await curio.sleep(30)
+
+        async def close(self):
+            await cancelled.set()
+
+    async def handler(request):
+        if request.target == b"/close":
+            return peer.CallAnswer(status=200, body=None, chunks=Endless())
+        try:
+            await curio.sleep(30)
+        finally:
+            await cancelled.set()
+
+    async def main():
+        async with linked_nodes(handler=handler) as (first, _):
+            if how == "deadline":
+                with pytest.raises(peer.PeerTimeoutError) as caught:
+                    await first.call("b", make_request(deadline=soon(0.1)))
+                assert caught.value.run is core.RunMark.UNKNOWN
+            elif how == "cancel":
+                task = await curio.spawn(first.call, "b", make_request())
+                await curio.sleep(0.1)
+                await task.cancel()
+            else:
+                answer = await first.call("b", make_request(target=b"/close"))
+                await answer.chunks.close()
+            async with curio.timeout_after(2):
+                await cancelled.wait()
+
+    curio.run(main)
+
+
+def test_broken_body_is_no_complete_answer():
+    """Guards against a truncated body that ends like a whole one."""
+
+    class Broken:
+        def __init__(self):
+            self.pieces = [b"part"]
+
+        async def read(self):
+            if self.pieces:
+                return self.pieces.pop()
+            raise RuntimeError
+
+        async def close(self):
+            pass
+
+    async def handler(request):
+        return peer.CallAnswer(status=200, body=None, chunks=Broken())
+
+    async def main():
+        async with linked_nodes(handler=handler) as (first, _):
+            answer = await first.call("b", make_request())
+            assert await answer.chunks.read() == b"part"
+            for _ in range(2):  # A second read must not look like the end.
+                with pytest.raises(peer.PeerError) as caught:
+                    await answer.chunks.read()
+                assert caught.value.run is core.RunMark.UNKNOWN
+
+    curio.run(main)
+
+
+@pytest.mark.parametrize("wrong_side", ["dialer", "listener"])
+def test_wrong_secret_is_refused_by_both_sides(wrong_side):
+    """Guards against links with gateways that don't have the secret."""
+
+    async def main():
+        async with linked_nodes(handler=echo, secret=b"other") as nodes:
+            # Of a pair, `a` dials the control link and both dial calls.
+            dialer, listener = nodes
+            if wrong_side == "listener":
+                listener._secret, dialer._secret = (
+                    dialer._secret,
+                    listener._secret,
+                )
+            with pytest.raises(peer.PeerError) as caught:
+                await dialer.call("b", make_request())
+            assert caught.value.run is core.RunMark.NOT_RUN
+            await wait_until(
+                lambda: listener.metrics.counters["peer_authentication_failed"]
+            )
+            assert all(
+                state.suspected and state.heartbeat is None
+                for node in nodes
+                for state in node.peers()
+            )
+
+    curio.run(main)
+
+
+def test_heartbeat_contents_and_round_trip_arrive_on_both_sides():
+    """Guards against peers that are suspected although their link works."""
+
+    async def main():
+        async with linked_nodes(handler=echo) as nodes:
+            await wait_until(
+                lambda: all(
+                    node.peers()[0].round_trip is not None for node in nodes
+                )
+            )
+            for node, other in (nodes, nodes[::-1]):
+                (state,) = node.peers()
+                assert state.heartbeat == other.state.describe()
+                assert not state.suspected
+                assert 0 <= state.round_trip < 0.5
+
+    curio.run(main)
+
+
+def test_load_report_follows_announced_change():
+    """Guards against loads that are only as fresh as heartbeats."""
+
+    async def main():
+        async with linked_nodes(handler=echo) as (first, second):
+            await wait_until(lambda: first.peers()[0].heartbeat is not None)
+            home = peer.HomeReport(
+                service="catalogue", zone="a", free_slots=0, queued=3, wait=0.25
+            )
+            second.state.homes = (home,)
+            await second.announce()
+            await wait_until(
+                lambda: first.peers()[0].heartbeat.homes == (home,)
+            )
+
+    curio.run(main)
+
+
+def test_requests_run_side_by_side_and_fail_with_their_code():
+    """Guards against a slow request that blocks the others of a link."""
+
+    async def answer(request):
+        if request.payload == b"slow":
+            await curio.sleep(30)
+        if request.payload == b"bad":
+            raise core.CodedError
+        return request.peer_id.encode() + request.payload
+
+    async def main():
+        async with linked_nodes() as (first, second):
+            second.on_request("echo", answer)
+            await wait_until(lambda: not first.peers()[0].suspected)
+            slow = await curio.spawn(
+                lambda: first.request("b", "echo", b"slow", deadline=soon(1))
+            )
+            reply = await first.request("b", "echo", b"-x", deadline=soon())
+            assert reply == b"a-x"
+            for kind, payload, code in (
+                ("echo", b"bad", "internal_error"),
+                ("none", b"", "peer_request_unknown"),
+            ):
+                with pytest.raises(peer.RemoteError) as caught:
+                    await first.request("b", kind, payload, deadline=soon())
+                assert caught.value.remote_code == code
+            with pytest.raises(curio.TaskError) as timed_out:
+                await slow.join()
+            assert isinstance(timed_out.value.__cause__, peer.PeerTimeoutError)
+
+    curio.run(main)
+
+
+def test_lost_peer_is_suspected_and_requests_fail_at_once():
+    """Guards against waiting for a killed peer, and against no redial."""
+
+    async def wait_forever(request):
+        await curio.sleep(30)
+
+    async def main():
+        async with linked_nodes() as (first, second):
+            second.on_request("wait", wait_forever)
+            await wait_until(lambda: not first.peers()[0].suspected)
+            task = await curio.spawn(
+                lambda: first.request("b", "wait", b"", deadline=soon(30))
+            )
+            await curio.sleep(0.05)
+            address = second.listen()
+            await second.stop()
+            with pytest.raises(curio.TaskError) as caught:
+                await task.join()
+            assert isinstance(caught.value.__cause__, peer.LinkClosedError)
+            assert first.peers()[0].suspected
+            with pytest.raises(peer.PeerUnreachableError):
+                await first.request("b", "wait", b"", deadline=soon())
+            again = make_node("b", listen=address)
+            await again.update_peers(
+                [peer.PeerAddress(gateway_id="a", address=first.listen())]
+            )
+            task = await curio.spawn(again.run, daemon=True)
+            await wait_until(lambda: not first.peers()[0].suspected)
+            await again.stop()
+
+    curio.run(main)
