Add the backend server stand-in

Tests and demo need servers that shed, start cold, suffer from noisy neighbours and mix up responses. One process now hosts many such servers, steered by an admin listener. Each response proves in its body that it is whole and belongs to its request; each started non-idempotent request is counted by its key.

--- a/libs/standins/src/banyandale_standins/__init__.py
+++ b/libs/standins/src/banyandale_standins/__init__.py
@@ -1,1 +1,29 @@
-"""Stand-ins for platform and backend servers, load tool and demo."""
+"""Stand-ins for the outside of the system, load tool and demo."""
+
+from banyandale_standins._backend import BackendsSettings
+from banyandale_standins._backend import ColdSettings
+from banyandale_standins._backend import serve_backends
+from banyandale_standins._backend import ServerChange
+from banyandale_standins._backend import ServerSettings
+from banyandale_standins._backend import ServiceProfile
+from banyandale_standins._bodies import Bodies
+from banyandale_standins._bodies import find_fault
+from banyandale_standins._episodes import Episodes
+from banyandale_standins._episodes import EpisodeSettings
+from banyandale_standins._networks import Network
+from banyandale_standins._timing import FineSelector
+
+__all__ = [
+    "BackendsSettings",
+    "Bodies",
+    "ColdSettings",
+    "EpisodeSettings",
+    "Episodes",
+    "FineSelector",
+    "Network",
+    "ServerChange",
+    "ServerSettings",
+    "ServiceProfile",
+    "find_fault",
+    "serve_backends",
+]
--- /dev/null
+++ b/libs/standins/src/banyandale_standins/_backend.py
@@ -0,0 +1,655 @@
+"""Stand-in for the backend servers of several services.
+
+One process hosts many servers, each on an address of its own. A server has
+slots, a bounded queue behind them and sheds what exceeds both. It starts
+cold, is slowed down by noisy neighbours, and misbehaves on request of the
+admin listener.
+"""
+
+import collections
+import contextlib
+import dataclasses
+import json
+import math
+import random
+import time
+from typing import Literal
+
+import curio
+import curio.io
+import curio.traps
+import pydantic
+
+import banyandale_core as core
+import banyandale_http as http
+from banyandale_standins import _admin as admin
+from banyandale_standins import _bodies as bodies
+from banyandale_standins import _episodes as episodes
+from banyandale_standins import _networks as networks
+
+IDLE_SECONDS = 120.0
+MAX_REQUEST_BYTES = 4 << 20
+# The design allows new work to reach a leaving server for this long.
+LEAVING_GRACE_SECONDS = 3.0
+# Effects that are remembered by each server, to find the doubled ones.
+MAX_EFFECTS = 200_000
+IDEMPOTENT_METHODS = frozenset({b"GET", b"HEAD", b"PUT", b"DELETE"})
+
+
+class ServiceProfile(networks.Model):
+    """How the servers of one service behave.
+
+    Attributes:
+        mean_ms: Mean service time of a warm server without neighbours.
+        sigma: Standard deviation of the logarithm of the service time.
+        min_bytes: Smallest response body.
+        max_bytes: Largest response body.
+    """
+
+    mean_ms: float = pydantic.Field(default=10.0, gt=0)
+    sigma: float = pydantic.Field(default=0.5, ge=0)
+    min_bytes: int = 200
+    max_bytes: int = 2000
+
+
+class ColdSettings(networks.Model):
+    """How a server behaves after its start.
+
+    Attributes:
+        limit: Requests that a cold server can hold at a time; one more makes
+            it fail and start again.
+        factor: How many times slower a cold server works.
+        warm_requests: Completed requests after which a server is warm.
+        warm_ms: Time after which a server is warm whatever it completed, or
+            None.
+    """
+
+    limit: int = 1
+    factor: float = 3.0
+    warm_requests: int = 5
+    warm_ms: float | None = None
+
+
+class ServerSettings(networks.Model):
+    """One server."""
+
+    address: str
+    service: str
+    zone: str
+    slots: int = pydantic.Field(default=2, ge=1)
+    queue: int = pydantic.Field(default=4, ge=0)
+
+
+class BackendsSettings(networks.Model):
+    """All servers of one process.
+
+    Attributes:
+        admin: `ip:port` of the admin listener.
+        load_stale_ms: Age up to which load reports are not refreshed.
+    """
+
+    admin: str
+    seed: int = 1
+    network: networks.Network = networks.Network()
+    services: dict[str, ServiceProfile]
+    servers: tuple[ServerSettings, ...]
+    cold: ColdSettings = ColdSettings()
+    neighbours: episodes.EpisodeSettings = episodes.EpisodeSettings()
+    load_stale_ms: float = 0.0
+
+
+class ServerChange(networks.Model):
+    """A change of a running server; what is None stays as it is.
+
+    Attributes:
+        cold: True restarts the server without closing connections.
+        leaving: Whether the server announces that it leaves.
+        slow_factor: How many times slower the server works.
+        fault: What goes wrong with responses: `truncate` cuts the body,
+            `cross` sends the response of the previous request, `double`
+            sends the response twice, `delay` holds it for `delay_ms`.
+        fault_ratio: Share of responses that the fault hits.
+        delay_ms: See `fault`.
+        silence: `open` makes the connections that are open now silent for
+            ever while new ones work; `all` also makes new ones silent;
+            `none` ends silence for new ones.
+        refuse: True resets all connections and refuses new ones; False
+            starts the server again.
+        claim_phase: Phase that the server reports instead of its true one;
+            "" for the true one.
+    """
+
+    cold: bool | None = None
+    leaving: bool | None = None
+    slow_factor: float | None = pydantic.Field(default=None, gt=0)
+    fault: Literal["none", "truncate", "cross", "double", "delay"] | None = None
+    fault_ratio: float | None = pydantic.Field(default=None, ge=0, le=1)
+    delay_ms: float | None = pydantic.Field(default=None, ge=0)
+    silence: Literal["none", "open", "all"] | None = None
+    refuse: bool | None = None
+    claim_phase: Literal["", "cold", "warm", "leaving"] | None = None
+
+
+class _CallerLeftError(Exception):
+    """The caller closed its connection, which cancels its request."""
+
+
+class _ServerFailedError(Exception):
+    """The server failed and resets this connection."""
+
+
+class _Link:
+    """One connection of a caller."""
+
+    def __init__(self, *, sock: curio.io.Socket, zone: str | None) -> None:
+        self.sock = sock
+        self.zone = zone
+        self.http = http.ServerConnection(sock=sock)
+        self.silent = False
+        self.task: curio.Task | None = None
+
+    def caller_left(self) -> bool:
+        return self.http.caller_left()
+
+    async def wait_until(self, at: float) -> None:
+        """Waits; ends early with `_CallerLeftError` when the caller closes."""
+        while (remaining := at - time.monotonic()) > 0:
+            try:
+                async with curio.timeout_after(remaining):
+                    await curio.traps._read_wait(self.sock._fileno)
+            except curio.TaskTimeout:
+                return
+            if self.caller_left():
+                raise _CallerLeftError
+            # The next request came early; closing is no longer noticed.
+            await curio.sleep(max(at - time.monotonic(), 0.0))
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class _Waiter:
+    link: _Link
+    event: curio.Event
+    granted: bool = False
+
+
+class _Slots:
+    """The slots of a server and the queue behind them."""
+
+    def __init__(self, *, count: int, queue: int) -> None:
+        self._count = count
+        self._queue = queue
+        self.running = 0
+        self.waiting: collections.deque[_Waiter] = collections.deque()
+
+    def in_flight(self) -> int:
+        return self.running + len(self.waiting)
+
+    async def take(self, link: _Link, deadline: float) -> bool:
+        """Waits for a slot; returns False when there is none in time."""
+        if self.running < self._count and not self.waiting:
+            self.running += 1
+            return True
+        self._drop_closed()
+        if len(self.waiting) >= self._queue:
+            return False
+        waiter = _Waiter(link=link, event=curio.Event())
+        self.waiting.append(waiter)
+        try:
+            async with core.timeout_at(deadline):
+                await waiter.event.wait()
+        except curio.TaskTimeout:
+            if not waiter.granted:
+                self.waiting.remove(waiter)
+                return False
+        except curio.CancelledError:
+            await self._withdraw(waiter)
+            raise
+        if link.caller_left():
+            await self.give()
+            raise _CallerLeftError
+        return True
+
+    def _drop_closed(self) -> None:
+        for waiter in tuple(self.waiting):
+            if waiter.link.caller_left():
+                self.waiting.remove(waiter)
+
+    async def _withdraw(self, waiter: _Waiter) -> None:
+        if waiter.granted:
+            await self.give()
+        elif waiter in self.waiting:
+            self.waiting.remove(waiter)
+
+    async def give(self) -> None:
+        """Gives a slot to the next waiter or back."""
+        if not self.waiting:
+            self.running -= 1
+            return
+        waiter = self.waiting.popleft()
+        waiter.granted = True
+        await waiter.event.set()
+
+
+class BackendServer:
+    """One server.
+
+    Attributes:
+        settings: Its settings.
+        counters: Counts since the start of the process.
+        effects: How often the work behind each idempotency key (or request
+            id, where there is no key) was started.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: ServerSettings,
+        world: BackendsSettings,
+        prepared: bodies.Bodies,
+        neighbours: episodes.Episodes,
+        seed: int,
+    ) -> None:
+        self.settings = settings
+        self.counters: collections.Counter[str] = collections.Counter()
+        self.effects: collections.Counter[str] = collections.Counter()
+        self.last_request_at = 0.0
+        self._world = world
+        self._bodies = prepared
+        self._neighbours = neighbours
+        self._rng = random.Random(seed)
+        profile = world.services[settings.service]
+        mean = profile.mean_ms / core.MILLISECONDS_PER_SECOND
+        self._sigma = profile.sigma
+        # The mean of a log-normal variable is exp(mu + sigma^2 / 2).
+        self._mu = math.log(mean) - profile.sigma**2 / 2
+        self._links: set[_Link] = set()
+        self._accepting: curio.Task | None = None
+        self._listener: curio.io.Socket | None = None
+        self._leaving_since: float | None = None
+        self._slow_factor = 1.0
+        self._fault = "none"
+        self._fault_ratio = 1.0
+        self._delay_ms = 0.0
+        self._all_silent = False
+        self._claimed_phase = ""
+        self._previous: http.Response | None = None
+        self._load = (0, 0.0)
+        self._boots = 0
+        self._start_cold()
+
+    def _start_cold(self) -> None:
+        self._boots += 1
+        self.boot = f"{self._rng.getrandbits(48):012x}-{self._boots}"
+        self._phase = "cold"
+        self._booted_at = time.monotonic()
+        self._completed = 0
+        self._slots = _Slots(
+            count=self.settings.slots, queue=self.settings.queue
+        )
+
+    @property
+    def phase(self) -> str:
+        """The true phase: cold, warm or leaving."""
+        if self._leaving_since is not None:
+            return "leaving"
+        self._warm_up()
+        return self._phase
+
+    def _warm_up(self) -> None:
+        if self._phase == "warm":
+            return
+        cold = self._world.cold
+        age_ms = (time.monotonic() - self._booted_at) * 1000
+        if self._completed >= cold.warm_requests or (
+            cold.warm_ms is not None and age_ms >= cold.warm_ms
+        ):
+            self._phase = "warm"
+
+    async def open(self) -> None:
+        """Starts listening."""
+        if self._listener is None:
+            self._listener = http.open_listener(self.settings.address)
+            self._accepting = await curio.spawn(
+                self._accept, self._listener, daemon=True
+            )
+
+    async def close(self) -> None:
+        """Stops listening and resets all connections."""
+        if self._listener is not None:
+            await self._accepting.cancel()
+            await self._listener.close()
+            self._listener = None
+        await self._reset_links()
+
+    async def _accept(self, listener: curio.io.Socket) -> None:
+        while True:
+            sock, address = await listener.accept()
+            zone = self._world.network.find_zone(address[0])
+            link = _Link(sock=sock, zone=zone)
+            link.silent = self._all_silent
+            link.task = await curio.spawn(self._serve, link, daemon=True)
+
+    async def _serve(self, link: _Link) -> None:
+        self.counters["connections"] += 1
+        self._links.add(link)
+        is_reset = True
+        try:
+            await self._pass_handshake(link)
+            while link.http.is_reusable and await self._serve_request(link):
+                pass
+            is_reset = False
+        except (http.HttpError, _ServerFailedError, _CallerLeftError):
+            pass
+        finally:
+            self._links.discard(link)
+            await (link.http.abort() if is_reset else link.http.close())
+
+    async def _pass_handshake(self, link: _Link) -> None:
+        delay = self._world.network.connect_ms / core.MILLISECONDS_PER_SECOND
+        delay += self._draw_travel(link) + self._draw_travel(link)
+        # The kernel has completed the handshake already; the delay is made
+        # up for before the first request is read.
+        await curio.sleep(delay)
+
+    def _draw_travel(self, link: _Link) -> float:
+        return self._world.network.draw_delay(
+            source=link.zone, target=self.settings.zone, rng=self._rng
+        )
+
+    async def _serve_request(self, link: _Link) -> bool:
+        request = await link.http.read_request(
+            limit=MAX_REQUEST_BYTES,
+            idle_deadline=time.monotonic() + IDLE_SECONDS,
+        )
+        if request is None:
+            return False
+        await self._travel(link)
+        await self._stay_silent(link)
+        if request.target == b"/load":
+            response = self._report_load()
+        else:
+            response = await self._handle(link, request)
+        await self._travel(link)
+        await self._stay_silent(link)
+        return await self._send(link, response)
+
+    async def _travel(self, link: _Link) -> None:
+        if delay := self._draw_travel(link):
+            await link.wait_until(time.monotonic() + delay)
+
+    async def _stay_silent(self, link: _Link) -> None:
+        while link.silent:
+            await link.wait_until(time.monotonic() + IDLE_SECONDS)
+
+    def _report_load(self) -> http.Response:
+        self.counters["load_requests"] += 1
+        load = self._read_load()
+        body = {
+            "boot": self.boot,
+            "phase": self._claimed_phase or self.phase,
+            "in_flight": load,
+            "slots": self.settings.slots,
+        }
+        return http.Response(
+            status=200,
+            headers=(
+                (b"content-type", b"application/json"),
+                *self._make_headers(),
+            ),
+            body=json.dumps(body).encode(),
+        )
+
+    def _read_load(self) -> int:
+        now = time.monotonic()
+        load, read_at = self._load
+        if (now - read_at) * 1000 >= self._world.load_stale_ms:
+            load = self._slots.in_flight()
+            self._load = (load, now)
+        return load
+
+    def _make_headers(self) -> http.Headers:
+        phase = self._claimed_phase or self.phase
+        load = f"{self._read_load()}/{self.settings.slots}"
+        return (
+            (b"server-boot", self.boot.encode()),
+            (b"server-phase", phase.encode()),
+            (b"server-load", load.encode()),
+        )
+
+    async def _handle(
+        self, link: _Link, request: http.Request
+    ) -> http.Response:
+        self._count_arrival()
+        slots = self._slots
+        if self.phase == "cold" and (
+            slots.in_flight() >= self._world.cold.limit
+        ):
+            await self._fail(link)
+        deadline = self._read_deadline(request)
+        if not await slots.take(link, deadline):
+            return self._shed("shed_full")
+        try:
+            if time.monotonic() >= deadline:
+                return self._shed("shed_deadline")
+            self._record(request)
+            await link.wait_until(self._draw_end())
+        except _CallerLeftError:
+            self.counters["cancelled"] += 1
+            raise
+        finally:
+            await slots.give()
+        self._completed += 1
+        self.counters["completed"] += 1
+        return self._make_response(request)
+
+    def _count_arrival(self) -> None:
+        self.counters["requests"] += 1
+        self.last_request_at = time.time()
+        if self._leaving_since is not None:
+            self.counters["requests_while_leaving"] += 1
+            age = time.monotonic() - self._leaving_since
+            if age > LEAVING_GRACE_SECONDS:
+                self.counters["late_requests_while_leaving"] += 1
+
+    async def _fail(self, link: _Link) -> None:
+        """Fails as a cold server does that gets more than it can hold."""
+        self.counters["cold_overruns"] += 1
+        self._start_cold()
+        await self._reset_links(besides=link)
+        raise _ServerFailedError
+
+    async def _reset_links(self, besides: _Link | None = None) -> None:
+        for link in tuple(self._links):
+            if link is not besides:
+                await link.task.cancel(blocking=False)
+
+    def _read_deadline(self, request: http.Request) -> float:
+        value = request.header(b"request-deadline")
+        if value is None:
+            return time.monotonic() + IDLE_SECONDS
+        return core.deadline_from_unix_ms(int(value), core.SystemClock())
+
+    def _shed(self, counter: str) -> http.Response:
+        self.counters[counter] += 1
+        return http.Response(
+            status=503,
+            headers=((b"server-shed", b"not-run"), *self._make_headers()),
+        )
+
+    def _record(self, request: http.Request) -> None:
+        self.counters["executed"] += 1
+        if request.method in IDEMPOTENT_METHODS:
+            return
+        if len(self.effects) >= MAX_EFFECTS:
+            self.counters["unrecorded_effects"] += 1
+            return
+        key = request.header(b"idempotency-key")
+        name = key or request.header(b"request-id") or b"unnamed"
+        self.effects[name.decode("latin-1")] += 1
+
+    def _draw_end(self) -> float:
+        work = self._rng.lognormvariate(self._mu, self._sigma)
+        work *= self._slow_factor
+        if self._phase == "cold":
+            work *= self._world.cold.factor
+        return self._neighbours.find_end(start=time.monotonic(), work=work)
+
+    def _make_response(self, request: http.Request) -> http.Response:
+        request_id = request.header(b"request-id")
+        echoed = () if request_id is None else ((b"request-id", request_id),)
+        return http.Response(
+            status=200,
+            headers=(
+                (b"content-type", b"application/octet-stream"),
+                *self._make_headers(),
+                *echoed,
+            ),
+            body=self._bodies.make(request.target, self._rng),
+        )
+
+    async def _send(self, link: _Link, response: http.Response) -> bool:
+        """Sends a response; returns whether the connection stays open."""
+        previous, self._previous = self._previous, response
+        fault = self._fault
+        if fault == "none" or self._rng.random() >= self._fault_ratio:
+            await link.http.send_response(response)
+            return True
+        self.counters[f"fault_{fault}"] += 1
+        if fault == "delay":
+            delay = self._delay_ms / core.MILLISECONDS_PER_SECOND
+            await link.wait_until(time.monotonic() + delay)
+        if fault == "cross" and previous is not None:
+            response = previous
+        if fault in ("delay", "cross"):
+            await link.http.send_response(response)
+            return True
+        data = _encode(response)
+        data = data * 2 if fault == "double" else data[: -1 - len(data) // 4]
+        with contextlib.suppress(OSError):
+            await link.sock.sendall(data)
+        return False
+
+    async def change(self, change: ServerChange) -> None:
+        """Carries out a change of the admin listener."""
+        if change.cold:
+            self._start_cold()
+        if change.leaving is not None:
+            now = time.monotonic()
+            self._leaving_since = now if change.leaving else None
+        if change.slow_factor is not None:
+            self._slow_factor = change.slow_factor
+        if change.fault is not None:
+            self._fault = change.fault
+        if change.fault_ratio is not None:
+            self._fault_ratio = change.fault_ratio
+        if change.delay_ms is not None:
+            self._delay_ms = change.delay_ms
+        if change.claim_phase is not None:
+            self._claimed_phase = change.claim_phase
+        if change.silence is not None:
+            self._all_silent = change.silence == "all"
+            for link in self._links:
+                link.silent = link.silent or change.silence != "none"
+        if change.refuse:
+            await self.close()
+        elif change.refuse is False and self._listener is None:
+            self._start_cold()
+            await self.open()
+
+    def describe(self) -> dict[str, object]:
+        """Returns state and counters as JSON values."""
+        return {
+            "address": self.settings.address,
+            "service": self.settings.service,
+            "zone": self.settings.zone,
+            "boot": self.boot,
+            "phase": self.phase,
+            "in_flight": self._slots.in_flight(),
+            "open_connections": len(self._links),
+            "last_request_at": self.last_request_at,
+            "counters": dict(self.counters),
+        }
+
+
+def _encode(response: http.Response) -> bytes:
+    """Encodes a response without HTTP state, to send it wrongly."""
+    lines = [b"HTTP/1.1 %d OK" % response.status]
+    lines += [b"%s: %s" % header for header in response.headers]
+    lines.append(b"content-length: %d" % len(response.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + response.body
+
+
+class Backends:
+    """All servers of one process and their admin requests."""
+
+    def __init__(self, *, config: BackendsSettings) -> None:
+        prepared = {
+            name: bodies.Bodies(
+                min_bytes=profile.min_bytes,
+                max_bytes=profile.max_bytes,
+                seed=config.seed,
+            )
+            for name, profile in config.services.items()
+        }
+        self.servers = []
+        start = time.monotonic()
+        for index, settings in enumerate(config.servers):
+            # Distinct seeds for work and episodes of each server.
+            seed = (config.seed * len(config.servers) + index) * 2
+            server = BackendServer(
+                settings=settings,
+                world=config,
+                prepared=prepared[settings.service],
+                neighbours=episodes.Episodes(
+                    settings=config.neighbours, start=start, seed=seed + 1
+                ),
+                seed=seed,
+            )
+            self.servers.append(server)
+
+    async def answer(
+        self, method: str, path: str, query: dict[str, str], body: bytes
+    ) -> object:
+        """Answers one request of the admin listener."""
+        servers = self._select(query)
+        if (method, path) == ("GET", "/counters"):
+            return {"servers": [server.describe() for server in servers]}
+        if (method, path) == ("GET", "/effects"):
+            effects: collections.Counter[str] = collections.Counter()
+            for server in servers:
+                effects.update(server.effects)
+            return {"effects": dict(effects)}
+        if (method, path) == ("PUT", "/servers"):
+            change = ServerChange.model_validate_json(body)
+            for server in servers:
+                await server.change(change)
+            return {"changed": len(servers)}
+        return None
+
+    def _select(self, query: dict[str, str]) -> list[BackendServer]:
+        return [
+            server
+            for server in self.servers
+            if all(
+                getattr(server.settings, key, None) == value
+                for key, value in query.items()
+            )
+        ]
+
+
+async def serve_backends(*, config: BackendsSettings) -> None:
+    """Serves all servers of `config` and the admin listener until cancelled.
+
+    The admin listener has `GET /counters`, `GET /effects` (how often the work
+    behind each idempotency key was started) and `PUT /servers` with a
+    `ServerChange`. The query parameters address, service and zone choose
+    servers; without any, all are meant.
+    """
+    backends = Backends(config=config)
+    for server in backends.servers:
+        await server.open()
+    try:
+        await admin.serve_admin(address=config.admin, handler=backends.answer)
+    finally:
+        for server in backends.servers:
+            await server.close()
--- /dev/null
+++ b/libs/standins/src/banyandale_standins/_episodes.py
@@ -0,0 +1,79 @@
+"""Episodes in which a noisy neighbour slows a server down."""
+
+import random
+
+import pydantic
+
+import banyandale_core as core
+from banyandale_standins import _networks as networks
+
+
+class EpisodeSettings(networks.Model):
+    """How often and how much servers slow down.
+
+    Attributes:
+        share: Mean share of servers that are slow at one time.
+        factor: How many times slower work is.
+        length_ms: Length of one episode.
+    """
+
+    share: float = pydantic.Field(default=0.05, ge=0, lt=1)
+    factor: float = 4.0
+    length_ms: float = 50.0
+
+
+class Episodes:
+    """The episodes of one server from a fixed seed.
+
+    Times between episodes are exponentially distributed. The times passed to
+    `find_end` must not decrease by more than the length of one request,
+    because past episodes are forgotten.
+    """
+
+    # Episodes that ended this long ago are dropped.
+    KEPT_SECONDS = 60.0
+
+    def __init__(
+        self, *, settings: EpisodeSettings, start: float, seed: int
+    ) -> None:
+        self._settings = settings
+        self._rng = random.Random(seed)
+        self._length = settings.length_ms / core.MILLISECONDS_PER_SECOND
+        self._planned_to = start
+        self._episodes: list[tuple[float, float]] = []
+
+    def _plan(self, until: float) -> None:
+        share = self._settings.share
+        gap = self._length * (1 - share) / share
+        while self._planned_to <= until:
+            begin = self._planned_to + self._rng.expovariate(1 / gap)
+            self._planned_to = begin + self._length
+            self._episodes.append((begin, self._planned_to))
+
+    def _forget(self, before: float) -> None:
+        while self._episodes and self._episodes[0][1] < before:
+            self._episodes.pop(0)
+
+    def find_end(self, *, start: float, work: float) -> float:
+        """Returns when work that starts at `start` ends.
+
+        Args:
+            start: Monotonic seconds.
+            work: Seconds the work takes outside of episodes.
+        """
+        if not self._settings.share:
+            return start + work
+        self._plan(start + work * self._settings.factor)
+        self._forget(start - self.KEPT_SECONDS)
+        now = start
+        for begin, end in self._episodes:
+            if end <= now:
+                continue
+            if now + work <= begin:
+                break
+            work -= max(begin - now, 0.0)
+            now = max(now, begin)
+            done = min((end - now) / self._settings.factor, work)
+            now += done * self._settings.factor
+            work -= done
+        return now + work
--- /dev/null
+++ b/libs/standins/src/banyandale_standins/_timing.py
@@ -0,0 +1,22 @@
+"""Timers finer than a millisecond for curio."""
+
+import select
+import selectors
+
+
+class FineSelector(selectors.EpollSelector):
+    """An epoll selector with timeouts in microseconds.
+
+    epoll_wait takes whole milliseconds and Python rounds up, which would add
+    up to 1 ms to every simulated service time and intended send time. An
+    epoll descriptor is itself pollable, so select() does the waiting.
+    """
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        """Waits for events, at most `timeout` seconds."""
+        if timeout is not None and timeout > 0:
+            select.select([self], [], [], timeout)
+            timeout = 0
+        return super().select(timeout)
