Add the link relay

Peer and platform links need the delay between zones and its faults too. The relay forwards TCP connections with one-way delay and jitter by zone, keeps the source address and cuts or silences links on request.

--- a/libs/standins/src/banyandale_standins/__init__.py
+++ b/libs/standins/src/banyandale_standins/__init__.py
@@ -11,6 +11,10 @@
 from banyandale_standins._episodes import Episodes
 from banyandale_standins._episodes import EpisodeSettings
 from banyandale_standins._networks import Network
+from banyandale_standins._relay import LinkChange
+from banyandale_standins._relay import RelaySettings
+from banyandale_standins._relay import RouteSettings
+from banyandale_standins._relay import serve_relay
 from banyandale_standins._timing import FineSelector
 
 __all__ = [
@@ -20,10 +24,14 @@
     "EpisodeSettings",
     "Episodes",
     "FineSelector",
+    "LinkChange",
     "Network",
+    "RelaySettings",
+    "RouteSettings",
     "ServerChange",
     "ServerSettings",
     "ServiceProfile",
     "find_fault",
     "serve_backends",
+    "serve_relay",
 ]
--- a/libs/standins/src/banyandale_standins/_backend.py
+++ b/libs/standins/src/banyandale_standins/_backend.py
@@ -427,7 +427,8 @@
             await self._fail(link)
         deadline = self._read_deadline(request)
         if not await slots.take(link, deadline):
-            return self._shed("shed_full")
+            is_late = time.monotonic() >= deadline
+            return self._shed("shed_deadline" if is_late else "shed_full")
         try:
             if time.monotonic() >= deadline:
                 return self._shed("shed_deadline")
--- /dev/null
+++ b/libs/standins/src/banyandale_standins/_relay.py
@@ -0,0 +1,227 @@
+"""Relay that gives TCP links between zones their delay and their faults.
+
+It keeps the IP number of the side that opened the connection, so that the
+target can tell the zone of its peer.
+"""
+
+import collections
+import random
+import time
+from typing import Literal
+
+import curio
+import curio.io
+
+import banyandale_http as http
+from banyandale_standins import _admin as admin
+from banyandale_standins import _networks as networks
+
+RECEIVE_BYTES = 65536
+# Pieces on their way in one direction; further data waits in the sender.
+MAX_PIECES = 256
+OPEN_SECONDS = 5.0
+
+
+class RouteSettings(networks.Model):
+    """One relayed address.
+
+    Attributes:
+        listen: `ip:port` where the relay listens.
+        target: `ip:port` to which it connects.
+        zone: Zone of the target.
+    """
+
+    listen: str
+    target: str
+    zone: str
+
+
+class RelaySettings(networks.Model):
+    """All routes of one relay process."""
+
+    admin: str
+    seed: int = 1
+    network: networks.Network = networks.Network()
+    routes: tuple[RouteSettings, ...]
+
+
+class LinkChange(networks.Model):
+    """A change of all links between two zones, or of one zone to all others.
+
+    Attributes:
+        zone: One side.
+        other: The other side; None for every other zone.
+        state: `up` forwards; `cut` closes open connections and new ones;
+            `silent` forwards nothing and keeps connections open;
+            `silent_open` does so only to connections that are open now.
+    """
+
+    zone: str
+    other: str | None = None
+    state: Literal["up", "cut", "silent", "silent_open"]
+
+
+class _Pair:
+    """One relayed connection."""
+
+    def __init__(
+        self, *, caller: curio.io.Socket, zones: frozenset[str | None]
+    ) -> None:
+        self.caller = caller
+        self.zones = zones
+        self.is_silent = False
+        self.task: curio.Task | None = None
+
+
+class Relay:
+    """Forwards the connections of all routes.
+
+    Attributes:
+        counters: Connections, forwarded bytes and resets since the start.
+    """
+
+    def __init__(self, *, config: RelaySettings) -> None:
+        self.counters: collections.Counter[str] = collections.Counter()
+        self._config = config
+        self._rng = random.Random(config.seed)
+        self._pairs: set[_Pair] = set()
+        self._states: dict[frozenset[str | None], str] = {}
+
+    async def listen(self, route: RouteSettings) -> None:
+        """Accepts connections on one route until cancelled."""
+        async with http.open_listener(route.listen) as listener:
+            while True:
+                sock, address = await listener.accept()
+                zone = self._config.network.find_zone(address[0])
+                pair = _Pair(caller=sock, zones=frozenset({zone, route.zone}))
+                pair.task = await curio.spawn(
+                    self._serve, pair, route, address[0], daemon=True
+                )
+
+    async def _serve(
+        self, pair: _Pair, route: RouteSettings, source: str
+    ) -> None:
+        self._pairs.add(pair)
+        self.counters["connections"] += 1
+        target = None
+        try:
+            async with pair.caller:
+                if self._states.get(pair.zones) == "cut":
+                    return
+                # The handshake crosses the link once in each direction.
+                await curio.sleep(2 * self._draw_delay(pair))
+                target = await http.open_socket(
+                    address=route.target,
+                    source=source,
+                    deadline=time.monotonic() + OPEN_SECONDS,
+                )
+                http.set_options(pair.caller)
+                async with target, curio.TaskGroup(wait=any) as group:
+                    await group.spawn(self._forward, pair, pair.caller, target)
+                    await group.spawn(self._forward, pair, target, pair.caller)
+        except (OSError, curio.TaskTimeout):
+            self.counters["failed"] += 1
+        finally:
+            self._pairs.discard(pair)
+
+    def _draw_delay(self, pair: _Pair) -> float:
+        source, *others = pair.zones
+        return self._config.network.draw_delay(
+            source=source,
+            target=others[0] if others else source,
+            rng=self._rng,
+        )
+
+    async def _forward(
+        self,
+        pair: _Pair,
+        source: curio.io.Socket,
+        target: curio.io.Socket,
+    ) -> None:
+        """Forwards one direction until it ends, keeping the order."""
+        pieces: curio.Queue = curio.Queue(maxsize=MAX_PIECES)
+        sender = await curio.spawn(self._send_pieces, pair, pieces, target)
+        try:
+            due = 0.0
+            while data := await source.recv(RECEIVE_BYTES):
+                due = max(due, time.monotonic() + self._draw_delay(pair))
+                await pieces.put((due, data))
+            await pieces.put((due, b""))
+            await sender.join()
+        except (OSError, curio.TaskError):
+            self.counters["failed"] += 1
+        finally:
+            await sender.cancel()
+
+    async def _send_pieces(
+        self, pair: _Pair, pieces: curio.Queue, target: curio.io.Socket
+    ) -> None:
+        while True:
+            due, data = await pieces.get()
+            if (delay := due - time.monotonic()) > 0:
+                await curio.sleep(delay)
+            while self._is_silent(pair):
+                await curio.sleep(0.01)
+            if not data:
+                return
+            await target.sendall(data)
+            self.counters["bytes"] += len(data)
+
+    def _is_silent(self, pair: _Pair) -> bool:
+        return pair.is_silent or self._states.get(pair.zones) == "silent"
+
+    async def change(self, change: LinkChange) -> int:
+        """Sets the state of links; returns how many connections it met."""
+        for zones in self._find_links(change):
+            state = "up" if change.state == "silent_open" else change.state
+            self._states[zones] = state
+        met = [
+            pair
+            for pair in self._pairs
+            if pair.zones in self._find_links(change)
+        ]
+        for pair in met:
+            if change.state == "cut":
+                await pair.task.cancel(blocking=False)
+            elif change.state == "silent_open":
+                pair.is_silent = True
+        return len(met)
+
+    def _find_links(self, change: LinkChange) -> set[frozenset[str | None]]:
+        others = (
+            {change.other}
+            if change.other is not None
+            else set(self._config.network.zones) - {change.zone}
+        )
+        return {frozenset({change.zone, other}) for other in others}
+
+    async def answer(
+        self, method: str, path: str, query: dict[str, str], body: bytes
+    ) -> object:
+        """Answers one request of the admin listener."""
+        if (method, path) == ("GET", "/counters"):
+            return {
+                "open_connections": len(self._pairs),
+                "counters": dict(self.counters),
+            }
+        if (method, path) == ("PUT", "/links"):
+            change = LinkChange.model_validate_json(body)
+            return {"connections": await self.change(change)}
+        return None
+
+
+async def serve_relay(*, config: RelaySettings) -> None:
+    """Forwards all routes and serves the admin listener until cancelled.
+
+    The admin listener has `GET /counters` and `PUT /links` with a
+    `LinkChange`.
+    """
+    relay = Relay(config=config)
+    async with curio.TaskGroup(wait=any) as group:
+        for route in config.routes:
+            await group.spawn(relay.listen, route)
+        await group.spawn(_serve_admin, config.admin, relay)
+
+
+async def _serve_admin(address: str, relay: Relay) -> None:
+    await admin.serve_admin(address=address, handler=relay.answer)
