gateway: assemble the gateway with lookups, homes, peers and planned stop

Cause: the parts were not connected. Change: Gateway builds all parts, refreshes homes on changes, drains on SIGTERM; core gets wait_for_signal because curio 1.6 has no signal support.

--- a/libs/core/src/banyandale_core/__init__.py
+++ b/libs/core/src/banyandale_core/__init__.py
@@ -10,6 +10,7 @@
 from banyandale_core._metrics import MemoryMetrics
 from banyandale_core._metrics import Metrics
 from banyandale_core._metrics import StatsdMetrics
+from banyandale_core._signals import wait_for_signal
 from banyandale_core._timeouts import timeout_at
 
 __all__ = [
@@ -24,4 +25,5 @@
     "deadline_from_unix_ms",
     "deadline_to_unix_ms",
     "timeout_at",
+    "wait_for_signal",
 ]
--- a/libs/gateway/src/banyandale_gateway/_callers.py
+++ b/libs/gateway/src/banyandale_gateway/_callers.py
@@ -20,6 +20,8 @@
 # How often connections with a request in work are checked for a caller that
 # went away. Each check is one system call per such connection.
 CALLER_CHECK_SECONDS = 0.05
+# A stop closes connections that brought no request for this long.
+QUIET_SECONDS = 1.0
 RUN_HEADER = b"banyandale-run"
 REASON_HEADER = b"banyandale-reason"
 JSON_TYPE = (b"content-type", b"application/json")
@@ -80,9 +82,16 @@
         return len(self._active)
 
     @property
-    def open_connections(self) -> int:
-        """How many connections of callers are open."""
-        return len(self._connections)
+    def is_drained(self) -> bool:
+        """Whether no request is in work and no connection may bring one.
+
+        A connection that has been idle for a while is not used any more,
+        since its caller has asked for other addresses meanwhile.
+        """
+        quiet_since = time.monotonic() - QUIET_SECONDS
+        return not self._active and all(
+            connection.used_at < quiet_since for connection in self._connections
+        )
 
     async def run(self) -> None:
         """Accepts connections until cancelled."""
@@ -196,7 +205,7 @@
         try:
             await connection.start_response(answer.head)
             await connection.send_chunk(answer.body)
-            while chunk := await rest.read_chunk():
+            while chunk := await rest.read():
                 await connection.send_chunk(chunk)
             await connection.end_response()
         except errors.CallError as error:
--- a/libs/gateway/src/banyandale_gateway/_calls.py
+++ b/libs/gateway/src/banyandale_gateway/_calls.py
@@ -19,6 +19,7 @@
         idempotent: Whether it may be sent again after an unknown outcome.
         attempt: Which attempt of the caller this is; the first is 1.
         hop: How many gateways passed it on before this one.
+        zone: Zone of the home that a peer addressed; empty for any.
     """
 
     id: str
@@ -28,12 +29,13 @@
     idempotent: bool
     attempt: int = 1
     hop: int = 0
+    zone: str = ""
 
 
 class BodyStream(Protocol):
     """The rest of a response body that is not read yet."""
 
-    async def read_chunk(self) -> bytes:
+    async def read(self) -> bytes:
         """Returns the next piece; b"" once the body is complete.
 
         Raises:
--- /dev/null
+++ b/libs/gateway/src/banyandale_gateway/_gateway.py
@@ -0,0 +1,378 @@
+"""Assembly of a gateway, its start and its planned stop."""
+
+import random
+import signal
+import time
+from typing import Any
+import uuid
+
+from absl import logging
+import curio
+
+import banyandale_config as config
+import banyandale_core as core
+import banyandale_dispatch as dispatch
+from banyandale_gateway import _backends as backends
+from banyandale_gateway import _budgets as budgets
+from banyandale_gateway import _callers as callers
+from banyandale_gateway import _handler as handler
+from banyandale_gateway import _homes as homes
+from banyandale_gateway import _local as local
+from banyandale_gateway import _lookup as lookup
+from banyandale_gateway import _membership as membership
+from banyandale_gateway import _peers as peers
+from banyandale_gateway import _rates as rates
+from banyandale_gateway import _router as router
+from banyandale_gateway import _sender as sender
+from banyandale_gateway import _serving as serving
+from banyandale_gateway import _settings as settings
+from banyandale_gateway import _status as status
+from banyandale_gateway import _vms as vms
+import banyandale_http as http
+import banyandale_lease as lease
+import banyandale_peer as peer
+import banyandale_platform as platform
+
+REFRESH_SECONDS = 0.1
+ANNOUNCE_SECONDS = 0.05
+FLUSH_SECONDS = 1.0
+# A planned stop goes on serving until every lookup that names this gateway
+# has run out, and a little longer for callers with a slow clock.
+DRAIN_SECONDS = lookup.VALID_SECONDS + 1.0
+MAX_DRAIN_SECONDS = 60.0
+DRAIN_POLL_SECONDS = 0.05
+
+POLICIES = {
+    "least_loaded": dispatch.LeastLoaded,
+    "random": dispatch.Random,
+    "round_robin": dispatch.RoundRobin,
+    "two_choices": dispatch.TwoChoices,
+}
+
+
+class Gateway:
+    """One gateway with all its parts."""
+
+    def __init__(
+        self,
+        *,
+        own: settings.Settings,
+        store: platform.ObjectStore,
+        vm_list: platform.VmList,
+        metrics: core.MemoryMetrics,
+        clock: core.Clock,
+    ) -> None:
+        self._own = own
+        self._metrics = metrics
+        self._clock = clock
+        self._boot = uuid.uuid4().hex
+        self._wanted: lease.Wanted | None = None
+        self._build_control(store, vm_list)
+        self._build_data_path()
+
+    def _build_control(
+        self, store: platform.ObjectStore, vm_list: platform.VmList
+    ) -> None:
+        own = self._own
+        self._node = peer.PeerNode(
+            gateway_id=own.gateway_id,
+            secret=own.peer_secret.encode(),
+            listen_address=own.peer_listen,
+            source=own.source,
+            state=self,
+            metrics=self._metrics,
+            clock=self._clock,
+        )
+        self._follower = config.Follower(
+            store=store,
+            gateway=own.gateway_id,
+            boot=self._boot,
+            on_change=self._on_configuration,
+            metrics=self._metrics,
+            clock=self._clock,
+        )
+        self._vms = vms.VmWatcher(
+            vm_list=vm_list, on_change=self._refresh, metrics=self._metrics
+        )
+        self._keeper = lease.LeaseKeeper(
+            store=store,
+            clock=self._clock,
+            metrics=self._metrics,
+            rng=random.Random(),
+            gateway=own.gateway_id,
+            zone=own.zone,
+            http=own.advertise,
+            peer=own.peer_advertise,
+        )
+        self._ownership = lease.Ownership(
+            store=store,
+            keeper=self._keeper,
+            clock=self._clock,
+            metrics=self._metrics,
+            rng=random.Random(),
+            wanted=lambda: self._wanted,
+            is_idle=self._is_idle,
+            on_gained=self._on_home,
+            on_lost=self._on_home,
+        )
+
+    def _build_data_path(self) -> None:
+        own = self._own
+        if own.routing is settings.Routing.HOME:
+            self._homes = homes.HomeTable(
+                gateway_id=own.gateway_id,
+                ownership=self._ownership,
+                build_dispatcher=self._build_dispatcher,
+                is_vm_leaving=self._vms.is_leaving,
+                metrics=self._metrics,
+            )
+        else:
+            self._homes = homes.DirectTable(
+                build_dispatcher=self._build_dispatcher,
+                is_vm_leaving=self._vms.is_leaving,
+            )
+        self._membership = membership.Membership(
+            own=own,
+            leases=self._ownership,
+            node=self._node,
+            own_homes=self._own_home_zones,
+            snapshot=self._follower.current,
+        )
+        self._sender = sender.Sender(
+            protocol=backends.HeaderProtocol(),
+            source=own.source,
+            clock=self._clock,
+        )
+        self._router = router.Router(
+            home_table=self._homes,
+            peers=peers.PeerHomes(node=self._node, metrics=self._metrics),
+            request_sender=self._sender,
+            service_budgets=budgets.ServiceBudgets(),
+            metrics=self._metrics,
+        )
+        self._node.on_call(
+            serving.PeerCallServer(
+                configuration=self._follower, call_router=self._router
+            ).serve
+        )
+        self._limits = rates.RateLimits(clock=self._clock)
+        self._callers = callers.CallerServer(
+            address=own.listen,
+            calls_handler=handler.Handler(
+                configuration=self._follower,
+                router=self._router,
+                limits=self._limits,
+                clock=self._clock,
+                metrics=self._metrics,
+            ),
+            local_handler=local.LocalEndpoints(
+                membership=self._membership,
+                configuration=self._follower,
+                status=self.describe_status,
+                clock=self._clock,
+                metrics=self._metrics,
+            ),
+            metrics=self._metrics,
+        )
+
+    def _build_dispatcher(
+        self, service: config.Service, zone: str
+    ) -> dispatch.Dispatcher:
+        del zone
+        return dispatch.Dispatcher(
+            clock=self._clock,
+            metrics=self._metrics,
+            policy=POLICIES[self._own.policy](),
+            queue_limit=service.queue_limit,
+            cold_limit=service.cold_limit,
+            cold_min_seconds=service.cold_min_ms / core.MILLISECONDS_PER_SECOND,
+            limit_slots=self._own.routing is settings.Routing.HOME,
+        )
+
+    def describe(self) -> peer.Heartbeat:
+        """Returns the contents of this gateway's heartbeats."""
+        return peer.Heartbeat(
+            gateway_id=self._own.gateway_id,
+            boot=self._boot,
+            generation=self._follower.generation,
+            http_address=self._own.advertise,
+            leaving=self._membership.leaving,
+            homes=tuple(_report_home(home) for home in self._homes.homes()),
+        )
+
+    def describe_status(self) -> dict[str, Any]:
+        """Returns what `/v1/status` shows."""
+        return {
+            "gateway": self._own.gateway_id,
+            "zone": self._own.zone,
+            "boot": self._boot,
+            "generation": self._follower.generation,
+            "leaving": self._membership.leaving,
+            "lease": self._keeper.is_valid(),
+            "homes": [
+                status.describe_home(
+                    home, has_lease=self._homes.has_lease(home)
+                )
+                for home in self._homes.homes()
+            ],
+            "peers": [
+                {"gateway": state.gateway_id, "suspected": state.suspected}
+                for state in self._node.peers()
+            ],
+            "counters": status.sort_counters(self._metrics),
+        }
+
+    def _own_home_zones(self, service: str) -> frozenset[str]:
+        return frozenset(home.zone for home in self._homes.homes_of(service))
+
+    def _is_idle(self, service: str, zone: str) -> bool:
+        """Whether no request of a home is at a server that may be cold.
+
+        The next holder could not count it against the cold limit.
+        """
+        home = self._homes.find(service, zone)
+        return home is None or not _has_cold_requests(home)
+
+    def _on_configuration(self, snapshot: config.Snapshot) -> None:
+        logging.info("configuration generation %d", snapshot.generation)
+        self._wanted = _find_wanted(snapshot)
+        self._refresh()
+
+    def _on_home(self, service: str, zone: str) -> None:
+        del service, zone
+        self._refresh()
+
+    def _refresh(self) -> None:
+        snapshot = self._follower.current()
+        if snapshot is not None:
+            self._homes.refresh(snapshot)
+
+    async def run(self) -> None:
+        """Serves until SIGTERM or SIGINT, then stops without cutting calls."""
+        loops = (
+            self._keeper.run,
+            self._follower.run,
+            self._ownership.run,
+            self._vms.run,
+            self._node.run,
+            self._callers.run,
+            self._refresh_all,
+            self._announce_loads,
+            self._flush_metrics,
+        )
+        tasks = [await curio.spawn(loop, daemon=True) for loop in loops]
+        logging.info("gateway %s started", self._own.gateway_id)
+        await core.wait_for_signal(signal.SIGTERM, signal.SIGINT)
+        await self._drain()
+        for task in tasks:
+            await task.cancel(blocking=False)
+
+    async def _refresh_all(self) -> None:
+        while True:
+            self._refresh()
+            addresses = self._membership.peer_addresses()
+            await self._node.update_peers(addresses)
+            self._limits.set_gateways(len(addresses) + 1)
+            for state in self._node.peers():
+                if state.heartbeat is not None:
+                    self._follower.announce(state.heartbeat.generation)
+            await curio.sleep(REFRESH_SECONDS)
+
+    async def _announce_loads(self) -> None:
+        while True:
+            await self._node.announce()
+            await curio.sleep(ANNOUNCE_SECONDS)
+
+    async def _flush_metrics(self) -> None:
+        while isinstance(self._metrics, core.StatsdMetrics):
+            self._metrics.flush()
+            await curio.sleep(FLUSH_SECONDS)
+
+    async def _drain(self) -> None:
+        """Leaves lookups, hands homes over, finishes calls, ends the lease."""
+        logging.info("gateway %s is leaving", self._own.gateway_id)
+        self._membership.leaving = True
+        until = time.monotonic() + DRAIN_SECONDS
+        await self._stop_cold_requests(until)
+        await self._keeper.leave()
+        while time.monotonic() < until:
+            await curio.sleep(DRAIN_POLL_SECONDS)
+        self._callers.drain()
+        limit = time.monotonic() + MAX_DRAIN_SECONDS
+        while not self._callers.is_drained and time.monotonic() < limit:
+            await curio.sleep(DRAIN_POLL_SECONDS)
+        await self._node.stop(deadline=limit)
+        await self._keeper.release()
+        logging.info("gateway %s stopped", self._own.gateway_id)
+
+    async def _stop_cold_requests(self, until: float) -> None:
+        """Waits for requests at cold servers before homes are handed over."""
+        for home in self._homes.homes():
+            home.dispatcher.allow_cold = False
+        while time.monotonic() < until and any(
+            _has_cold_requests(home) for home in self._homes.homes()
+        ):
+            await curio.sleep(DRAIN_POLL_SECONDS)
+
+
+def _report_home(home: homes.Home) -> peer.HomeReport:
+    load = home.dispatcher.load()
+    return peer.HomeReport(
+        service=home.service,
+        zone=home.zone,
+        free_slots=load.free_slots,
+        queued=load.queued,
+        wait=load.wait_estimate,
+    )
+
+
+def _has_cold_requests(home: homes.Home) -> bool:
+    return any(
+        state.in_flight and state.phase is not dispatch.Phase.WARM
+        for state in home.dispatcher.list_states()
+    )
+
+
+def _find_wanted(snapshot: config.Snapshot) -> lease.Wanted:
+    """Returns the homes that the configuration asks for."""
+    pairs = {
+        (service.name, server.zone)
+        for service in snapshot.services
+        for server in service.servers
+    }
+    return lease.Wanted(
+        homes=tuple(sorted(pairs)),
+        zones_in=frozenset(
+            zone.name for zone in snapshot.zones if zone.in_service
+        ),
+    )
+
+
+async def run_gateway(own: settings.Settings) -> int:
+    """Runs a gateway with its clients of the platform; returns 0."""
+    clock = core.SystemClock()
+    metrics = _build_metrics(own)
+    store = platform.CountedStore(
+        store=platform.HttpObjectStore(address=own.platform, source=own.source),
+        metrics=metrics,
+        clock=clock,
+        budget=platform.CallBudget(),
+    )
+    gateway = Gateway(
+        own=own,
+        store=store,
+        vm_list=platform.HttpVmList(address=own.platform, source=own.source),
+        metrics=metrics,
+        clock=clock,
+    )
+    await gateway.run()
+    return 0
+
+
+def _build_metrics(own: settings.Settings) -> core.MemoryMetrics:
+    if own.statsd is None:
+        return core.MemoryMetrics()
+    host, port = http.parse_address(own.statsd)
+    return core.StatsdMetrics(
+        host=host, port=port, prefix=f"banyandale.{own.gateway_id}"
+    )
--- a/libs/gateway/src/banyandale_gateway/_homes.py
+++ b/libs/gateway/src/banyandale_gateway/_homes.py
@@ -8,6 +8,9 @@
 import banyandale_core as core
 import banyandale_dispatch as dispatch
 
+# Zone of a dispatcher that serves all zones.
+ALL_ZONES = ""
+
 
 class HomeOwnership(Protocol):
     """What is known of who holds which home."""
@@ -42,8 +45,10 @@
         gateway_id: str,
         ownership: HomeOwnership,
         build_dispatcher: Callable[[config.Service, str], dispatch.Dispatcher],
+        is_vm_leaving: Callable[[str], bool],
         metrics: core.Metrics,
     ) -> None:
+        self._is_vm_leaving = is_vm_leaving
         self._gateway_id = gateway_id
         self._ownership = ownership
         self._build_dispatcher = build_dispatcher
@@ -102,8 +107,14 @@
     def _update(
         self, home: Home, service: config.Service, snapshot: config.Snapshot
     ) -> None:
+        configure_dispatcher(home.dispatcher, service)
         home.dispatcher.update_servers(
-            select_servers(service, snapshot, zone=home.zone)
+            select_servers(
+                service,
+                snapshot,
+                zone=home.zone,
+                is_vm_leaving=self._is_vm_leaving,
+            )
         )
 
     def _index(self) -> None:
@@ -115,6 +126,17 @@
         }
 
 
+def configure_dispatcher(
+    dispatcher: dispatch.Dispatcher, service: config.Service
+) -> None:
+    """Takes over the limits of a service."""
+    dispatcher.configure(
+        queue_limit=service.queue_limit,
+        cold_limit=service.cold_limit,
+        cold_min_seconds=service.cold_min_ms / core.MILLISECONDS_PER_SECOND,
+    )
+
+
 def service_zones(
     service: config.Service, snapshot: config.Snapshot
 ) -> tuple[str, ...]:
@@ -127,6 +149,7 @@
     service: config.Service,
     snapshot: config.Snapshot,
     *,
+    is_vm_leaving: Callable[[str], bool],
     zone: str | None = None,
 ) -> tuple[dispatch.Server, ...]:
     """Returns the servers that may get work, those leaving marked so.
@@ -134,6 +157,7 @@
     Args:
         service: The service.
         snapshot: The configuration in force.
+        is_vm_leaving: Whether the VM of an address is leaving.
         zone: Only this zone's servers, or None for all zones in service.
     """
     return tuple(
@@ -141,9 +165,63 @@
             address=server.address,
             zone=server.zone,
             slots=server.slots,
-            leaving=server.is_leaving,
+            leaving=server.is_leaving or is_vm_leaving(server.address),
         )
         for server in service.servers
         if snapshot.is_zone_in(server.zone)
         and (zone is None or server.zone == zone)
     )
+
+
+class DirectTable:
+    """One dispatcher per service over the servers of all zones.
+
+    This is what gateways do that do not work together. It serves as the
+    baseline of measurements.
+    """
+
+    def __init__(
+        self,
+        *,
+        build_dispatcher: Callable[[config.Service, str], dispatch.Dispatcher],
+        is_vm_leaving: Callable[[str], bool],
+    ) -> None:
+        self._is_vm_leaving = is_vm_leaving
+        self._build_dispatcher = build_dispatcher
+        self._homes: dict[str, Home] = {}
+
+    def homes(self) -> tuple[Home, ...]:
+        """Returns all dispatchers."""
+        return tuple(self._homes.values())
+
+    def homes_of(self, service: str) -> tuple[Home, ...]:
+        """Returns the dispatcher of a service."""
+        home = self._homes.get(service)
+        return () if home is None else (home,)
+
+    def find(self, service: str, zone: str) -> Home | None:
+        """Returns the dispatcher of a service."""
+        del zone
+        return self._homes.get(service)
+
+    def has_lease(self, home: Home) -> bool:
+        """Returns true: nobody else dispatches for this gateway."""
+        del home
+        return True
+
+    def refresh(self, snapshot: config.Snapshot) -> None:
+        """Takes over the configuration."""
+        for service in snapshot.services:
+            home = self._homes.get(service.name)
+            if home is None:
+                home = Home(
+                    service=service.name,
+                    zone=ALL_ZONES,
+                    dispatcher=self._build_dispatcher(service, ALL_ZONES),
+                )
+                self._homes[service.name] = home
+            home.dispatcher.update_servers(
+                select_servers(
+                    service, snapshot, is_vm_leaving=self._is_vm_leaving
+                )
+            )
--- /dev/null
+++ b/libs/gateway/src/banyandale_gateway/_membership.py
@@ -0,0 +1,101 @@
+"""Which gateways there are, and what they say of each other."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import banyandale_config as config
+from banyandale_gateway import _lookup as lookup
+from banyandale_gateway import _settings as settings
+import banyandale_lease as lease
+import banyandale_peer as peer
+
+
+class GatewayList(Protocol):
+    """The gateways that have a lease."""
+
+    def gateways(self) -> tuple[lease.GatewayInfo, ...]:
+        """Returns the gateways whose leases are live."""
+
+
+class Membership:
+    """Combines leases and heartbeats to the list that lookups use.
+
+    A lease shows that a gateway could reach the platform within the last
+    seconds; a heartbeat shows that it can be reached now. Both can be wrong
+    for a while, so a gateway is left out of lookups when either says that it
+    is leaving, or when its link is silent.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: settings.Settings,
+        leases: GatewayList,
+        node: peer.PeerNode,
+        own_homes: Callable[[str], frozenset[str]],
+        snapshot: Callable[[], config.Snapshot | None],
+    ) -> None:
+        self._own = own
+        self._leases = leases
+        self._node = node
+        self._own_homes = own_homes
+        self._snapshot = snapshot
+        self.leaving = False
+
+    def candidates(self, service: str) -> tuple[lookup.Candidate, ...]:
+        """Returns the gateways for callers of a service.
+
+        Gateways in a zone out of service are left out, unless there are no
+        others.
+        """
+        found = [self._describe_self(service)] if not self.leaving else []
+        found.extend(self._describe_peers(service))
+        snapshot = self._snapshot()
+        in_service = tuple(
+            item
+            for item in found
+            if snapshot is None or snapshot.is_zone_in(item.zone)
+        )
+        return in_service or tuple(found)
+
+    def _describe_self(self, service: str) -> lookup.Candidate:
+        return lookup.Candidate(
+            gateway_id=self._own.gateway_id,
+            zone=self._own.zone,
+            address=self._own.advertise,
+            home_zones=self._own_homes(service),
+        )
+
+    def _describe_peers(self, service: str) -> list[lookup.Candidate]:
+        heard = {
+            state.gateway_id: state.heartbeat
+            for state in self._node.peers()
+            if not state.suspected and state.heartbeat is not None
+        }
+        found = []
+        for info in self._leases.gateways():
+            heartbeat = heard.get(info.gateway)
+            if heartbeat is None or heartbeat.leaving or info.leaving:
+                continue
+            zones = frozenset(
+                report.zone
+                for report in heartbeat.homes
+                if report.service == service
+            )
+            found.append(
+                lookup.Candidate(
+                    gateway_id=info.gateway,
+                    zone=info.zone,
+                    address=info.http,
+                    home_zones=zones,
+                )
+            )
+        return found
+
+    def peer_addresses(self) -> tuple[peer.PeerAddress, ...]:
+        """Returns the peers to keep links with."""
+        return tuple(
+            peer.PeerAddress(gateway_id=info.gateway, address=info.peer)
+            for info in self._leases.gateways()
+            if info.gateway != self._own.gateway_id
+        )
--- a/libs/gateway/src/banyandale_gateway/_peers.py
+++ b/libs/gateway/src/banyandale_gateway/_peers.py
@@ -143,9 +143,9 @@
     def __init__(self, chunks: peer.ChunkReader) -> None:
         self._chunks = chunks
 
-    async def read_chunk(self) -> bytes:
+    async def read(self) -> bytes:
         try:
-            return await self._chunks.read_chunk()
+            return await self._chunks.read()
         except peer.PeerError as error:
             raise errors.ExchangeFailedError(
                 str(error), cause=error.code, run=core.RunMark.UNKNOWN
--- a/libs/gateway/src/banyandale_gateway/_router.py
+++ b/libs/gateway/src/banyandale_gateway/_router.py
@@ -10,6 +10,7 @@
 
 import banyandale_core as core
 import banyandale_dispatch as dispatch
+from banyandale_gateway import _budgets as budgets
 from banyandale_gateway import _calls as calls
 from banyandale_gateway import _errors as errors
 from banyandale_gateway import _homes as homes
@@ -26,6 +27,8 @@
 OVERFLOW_MARGIN_SECONDS = 0.001
 
 
+# Earlier hedges would cost more than the time they save.
+MIN_HEDGE_SECONDS = 0.005
 # Stands for this gateway where gateways are named.
 LOCAL = ""
 
@@ -78,13 +81,13 @@
         home_table: homes.HomeTable,
         peers: Peers,
         request_sender: sender.Sender,
-        budgets: retry.RetryBudgets,
+        service_budgets: budgets.ServiceBudgets,
         metrics: core.Metrics,
     ) -> None:
         self._homes = home_table
         self._peers = peers
         self._sender = request_sender
-        self._budgets = budgets
+        self._budgets = service_budgets
         self._metrics = metrics
 
     async def route(self, call: calls.Call) -> calls.Answer:
@@ -93,9 +96,7 @@
         Raises:
             CallError: The call ended without a response.
         """
-        budget = self._budgets.get(
-            call.service.name, ratio=call.service.retry_ratio
-        )
+        budget = self._budgets.find(call.service)
         budget.deposit()
         progress = _Progress()
         while True:
@@ -112,12 +113,11 @@
             CallError: This gateway is not the home, its queue is longer than
                 the peer expected, or the attempt failed.
         """
-        local = self._homes.homes_of(call.service.name)
-        if not local:
+        home = self._homes.find(call.service.name, call.zone)
+        if home is None:
             raise errors.NotHomeError(
-                f"no home of {call.service.name!r} is held here"
+                f"home of {call.service.name!r} in {call.zone!r} is not here"
             )
-        home = min(local, key=_local_cost)
         return await self._try_local(call, home, _Progress())
 
     def _may_go_on(
@@ -242,7 +242,9 @@
         self, call: calls.Call, home: homes.Home, attempt: sender.Attempt
     ) -> calls.Answer:
         """Finishes an attempt; sends a second one when it takes long."""
-        hedge_at = time.monotonic() + home.dispatcher.hedge_delay()
+        hedge_at = time.monotonic() + max(
+            home.dispatcher.times.p95, MIN_HEDGE_SECONDS
+        )
         if hedge_at >= call.deadline:
             return await attempt.finish()
         if await attempt.wait_readable(deadline=hedge_at):
@@ -255,9 +257,7 @@
     async def _start_hedge(
         self, call: calls.Call, home: homes.Home, first: sender.Attempt
     ) -> sender.Attempt | None:
-        budget = self._budgets.get(
-            call.service.name, ratio=call.service.retry_ratio
-        )
+        budget = self._budgets.find(call.service)
         assignment = home.dispatcher.try_acquire(
             exclude=frozenset({first.address})
         )
--- a/libs/gateway/src/banyandale_gateway/_sender.py
+++ b/libs/gateway/src/banyandale_gateway/_sender.py
@@ -185,7 +185,7 @@
             size += len(chunk)
         return b"".join(chunks), False
 
-    async def read_chunk(self) -> bytes:
+    async def read(self) -> bytes:
         """Reads more of a long body; see `calls.BodyStream`."""
         deadline = time.monotonic() + STREAM_STALL_SECONDS
         try:
--- /dev/null
+++ b/libs/gateway/src/banyandale_gateway/_serving.py
@@ -0,0 +1,93 @@
+"""Serves the calls that peers pass on."""
+
+from typing import Protocol
+
+import banyandale_config as config
+from banyandale_gateway import _backends as backends
+from banyandale_gateway import _calls as calls
+from banyandale_gateway import _errors as errors
+import banyandale_http as http
+import banyandale_peer as peer
+
+
+class PeerCallRouter(Protocol):
+    """Runs calls of peers."""
+
+    async def serve_peer(self, call: calls.Call) -> calls.Answer:
+        """Runs a call; see `Router.serve_peer`."""
+
+
+class SnapshotSource(Protocol):
+    """Gives the configuration in force."""
+
+    def current(self) -> config.Snapshot | None:
+        """Returns the configuration, or None before the first one."""
+
+
+class PeerCallServer:
+    """Turns calls of peers into calls of the router."""
+
+    def __init__(
+        self, *, configuration: SnapshotSource, call_router: PeerCallRouter
+    ) -> None:
+        self._configuration = configuration
+        self._router = call_router
+
+    async def serve(self, request: peer.CallRequest) -> peer.CallAnswer:
+        """Runs one call.
+
+        Raises:
+            CallError: The call was refused or failed.
+        """
+        snapshot = self._configuration.current()
+        service = snapshot and snapshot.find_service(request.service)
+        if service is None:
+            raise errors.NotHomeError(
+                f"service {request.service!r} is unknown here"
+            )
+        answer = await self._router.serve_peer(_build_call(request, service))
+        return peer.CallAnswer(
+            status=answer.head.status,
+            headers=answer.head.headers,
+            length=answer.head.length,
+            body=answer.body if answer.rest is None else None,
+            chunks=None if answer.rest is None else _Joined(answer),
+        )
+
+
+class _Joined:
+    """The whole body of an answer whose first part was read already."""
+
+    def __init__(self, answer: calls.Answer) -> None:
+        self._first = answer.body
+        self._rest = answer.rest
+
+    async def read(self) -> bytes:
+        if self._first:
+            first, self._first = self._first, b""
+            return first
+        return await self._rest.read()
+
+    async def close(self) -> None:
+        await self._rest.close()
+
+
+def _build_call(
+    request: peer.CallRequest, service: config.Service
+) -> calls.Call:
+    message = http.Request(
+        method=request.method,
+        target=request.target,
+        headers=request.headers,
+        body=request.body,
+    )
+    return calls.Call(
+        id=(message.header(backends.REQUEST_ID) or b"").decode("latin-1"),
+        service=service,
+        request=message,
+        deadline=request.deadline,
+        idempotent=request.method.decode() in service.idempotent_methods,
+        attempt=request.attempt,
+        hop=request.hop,
+        zone=request.zone,
+    )
--- a/libs/http/src/banyandale_http/_server.py
+++ b/libs/http/src/banyandale_http/_server.py
@@ -21,7 +21,12 @@
 
 
 class ServerConnection:
-    """One connection of a caller: reads requests, sends responses."""
+    """One connection of a caller: reads requests, sends responses.
+
+    Attributes:
+        used_at: Monotonic seconds when it was opened, or last got a request
+            or finished a response.
+    """
 
     def __init__(self, *, sock: curio.io.Socket) -> None:
         sockets.set_options(sock)
@@ -30,6 +35,7 @@
             our_role=h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._closing = False
+        self.used_at = time.monotonic()
 
     async def read_request(
         self, *, limit: int, idle_deadline: float
@@ -63,6 +69,7 @@
 
     async def _read_request(self, limit: int) -> messages.Request | None:
         head = await self._next_event()
+        self.used_at = time.monotonic()
         if not isinstance(head, h11.Request):
             return None
         chunks = []
@@ -157,6 +164,7 @@
         try:
             async with core.timeout_at(time.monotonic() + STALL_SECONDS):
                 await self._sock.sendall(data)
+            self.used_at = time.monotonic()
         except (OSError, curio.TaskTimeout) as error:
             raise errors.CallerGoneError(
                 str(error), run=core.RunMark.UNKNOWN
