--- a/libs/peer/src/banyandale_peer/_calls.py
+++ b/libs/peer/src/banyandale_peer/_calls.py
@@ -26,6 +26,8 @@
 MAX_IDLE_SECONDS = 30.0
 MAX_IDLE_CONNECTIONS = 64
 MAX_CONNECTIONS = 512
+# Code that the listener sends when the deadline ends a call.
+DEADLINE_EXCEEDED = "deadline_exceeded"
 
 UNKNOWN = core.RunMark.UNKNOWN
 NOT_RUN = core.RunMark.NOT_RUN
@@ -158,6 +160,10 @@
     def _raise_remote(self, message: Any) -> None:
         if isinstance(message, messages.CallError):
             self._check_id(message.id)
+            if message.code == DEADLINE_EXCEEDED:
+                raise errors.PeerTimeoutError(
+                    "the deadline passed at the peer", run=message.run
+                )
             raise errors.RemoteError(message.code, run=message.run)
 
     def check_end(self, end: messages.AnswerEnd, size: int) -> None:
--- a/libs/peer/src/banyandale_peer/_control.py
+++ b/libs/peer/src/banyandale_peer/_control.py
@@ -163,6 +163,7 @@
         self._reported: dict[tuple[str, str], messages.HomeReport] = {}
         self._reported_at = 0.0
         self._echo_us = 0
+        self._error: errors.PeerError | None = None
         self.heard = False
 
     async def run(self) -> None:
@@ -175,8 +176,8 @@
         group = curio.TaskGroup(wait=any)
         try:
             async with group:
-                await group.spawn(self._receive_all)
-                await group.spawn(self._send_all)
+                await group.spawn(self._run_until_error, self._receive_all)
+                await group.spawn(self._run_until_error, self._send_all)
                 await group.spawn(self._closing.wait)
         finally:
             if self._peer.link is self:
@@ -186,8 +187,16 @@
                 await waiter.event.set()
             for task in tuple(self._handling):
                 await task.cancel()
-        if group.exception is not None:
-            raise group.exception
+        if self._error is not None:
+            raise self._error
+
+    async def _run_until_error(
+        self, loop: Callable[[], Awaitable[None]]
+    ) -> None:
+        try:
+            await loop()
+        except errors.PeerError as error:
+            self._error = error
 
     async def close(self) -> None:
         """Ends the link."""
--- a/libs/peer/src/banyandale_peer/_serving.py
+++ b/libs/peer/src/banyandale_peer/_serving.py
@@ -92,7 +92,9 @@
                 head.deadline_unix_ms, self._clock
             ),
         )
-        self._answering = await curio.spawn(self._answer, head.id, request)
+        self._answering = await curio.spawn(
+            self._answer, head.id, request, daemon=True
+        )
 
     async def _read_body(self, first: bytes) -> bytes:
         body = bytearray(first)
@@ -116,7 +118,7 @@
                 await self._send_answer(call_id, answer)
         except curio.TaskTimeout:
             await self._send_error(
-                call_id, "deadline_exceeded", core.RunMark.UNKNOWN
+                call_id, calls.DEADLINE_EXCEEDED, core.RunMark.UNKNOWN
             )
         except errors.LinkClosedError:
             # Either this link, which `run` notices too, or one that the
