Add the load tool

Comparisons need the same arrivals for every policy and latencies that include the wait a slow system causes. The load tool draws all send times from a seed before the run, counts latency from them into HDR histograms, looks addresses up as callers do and tells whole, wrong, rejected and failed responses apart. It reports its own lateness and processor time.

--- a/libs/standins/src/banyandale_standins/__init__.py
+++ b/libs/standins/src/banyandale_standins/__init__.py
@@ -10,11 +10,18 @@
 from banyandale_standins._bodies import find_fault
 from banyandale_standins._episodes import Episodes
 from banyandale_standins._episodes import EpisodeSettings
+from banyandale_standins._load import LoadSettings
+from banyandale_standins._load import PhaseSettings
+from banyandale_standins._load import run_load
+from banyandale_standins._load import TrafficSettings
 from banyandale_standins._networks import Network
 from banyandale_standins._relay import LinkChange
 from banyandale_standins._relay import RelaySettings
 from banyandale_standins._relay import RouteSettings
 from banyandale_standins._relay import serve_relay
+from banyandale_standins._results import merge
+from banyandale_standins._results import RunResult
+from banyandale_standins._results import ServiceResult
 from banyandale_standins._timing import FineSelector
 
 __all__ = [
@@ -25,13 +32,20 @@
     "Episodes",
     "FineSelector",
     "LinkChange",
+    "LoadSettings",
     "Network",
+    "PhaseSettings",
     "RelaySettings",
     "RouteSettings",
+    "RunResult",
     "ServerChange",
     "ServerSettings",
     "ServiceProfile",
+    "ServiceResult",
+    "TrafficSettings",
     "find_fault",
+    "merge",
+    "run_load",
     "serve_backends",
     "serve_relay",
 ]
