--- a/libs/standins/src/banyandale_standins/_results.py
+++ b/libs/standins/src/banyandale_standins/_results.py
@@ -119,7 +119,9 @@
     def find(self, phase: str, service: str) -> ServiceResult:
         """Returns the result of one service in one phase."""
         services = self.services.setdefault(phase, {})
-        return services.setdefault(service, ServiceResult())
+        if service not in services:
+            services[service] = ServiceResult()
+        return services[service]
 
     def to_json(self) -> dict[str, object]:
         """Returns all results as JSON values."""
