--- a/libs/http/src/banyandale_http/_pool.py
+++ b/libs/http/src/banyandale_http/_pool.py
@@ -24,6 +24,8 @@
         self._idle: collections.deque[client.ClientConnection] = (
             collections.deque()
         )
+        self._lost = False
+        self._in_use = 0
 
     async def acquire(
         self, *, deadline: float, proved: bool = False
@@ -42,23 +44,43 @@
         oldest = now - (PROVED_SECONDS if proved else MAX_IDLE_SECONDS)
         while self._idle:
             connection = self._idle.pop()
-            if connection.proved_at >= oldest and connection.is_reusable:
+            reusable = connection.is_reusable
+            if reusable and connection.proved_at >= oldest:
+                self._in_use += 1
                 return connection
+            self._lost = self._lost or not reusable
             await connection.close()
-        return await client.ClientConnection.open(
+        connection = await client.ClientConnection.open(
             address=self._address, source=self._source, deadline=deadline
         )
+        self._in_use += 1
+        return connection
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether a connection is idle or in use."""
+        return self._in_use > 0 or bool(self._idle)
+
+    async def discard(self, connection: client.ClientConnection) -> None:
+        """Closes a connection, which cancels a request in flight."""
+        self._in_use -= 1
+        await connection.close()
 
     async def release(self, connection: client.ClientConnection) -> None:
         """Puts a connection back, or closes it when it cannot be reused."""
+        self._in_use -= 1
         if connection.is_reusable and len(self._idle) < self._limit:
             self._idle.append(connection)
         else:
             await connection.close()
 
-    def has_lost_connections(self) -> bool:
-        """Whether the other side closed an idle connection."""
-        return any(not connection.is_reusable for connection in self._idle)
+    def take_lost(self) -> bool:
+        """Whether an idle connection was found closed since the last call.
+
+        A server that restarted has closed all its connections.
+        """
+        lost, self._lost = self._lost, False
+        return lost
 
     async def clear(self) -> None:
         """Closes all idle connections."""
--- a/libs/standins/src/banyandale_standins/__init__.py
+++ b/libs/standins/src/banyandale_standins/__init__.py
@@ -15,6 +15,7 @@
 from banyandale_standins._load import run_load
 from banyandale_standins._load import TrafficSettings
 from banyandale_standins._networks import Network
+from banyandale_standins._platform import serve_platform
 from banyandale_standins._relay import LinkChange
 from banyandale_standins._relay import RelaySettings
 from banyandale_standins._relay import RouteSettings
@@ -47,5 +48,6 @@
     "merge",
     "run_load",
     "serve_backends",
+    "serve_platform",
     "serve_relay",
 ]
