--- a/libs/standins/src/banyandale_standins/__init__.py
+++ b/libs/standins/src/banyandale_standins/__init__.py
@@ -8,6 +8,8 @@
 from banyandale_standins._backend import ServiceProfile
 from banyandale_standins._bodies import Bodies
 from banyandale_standins._bodies import find_fault
+from banyandale_standins._deployments import Deployment
+from banyandale_standins._deployments import DEPLOYMENTS
 from banyandale_standins._episodes import Episodes
 from banyandale_standins._episodes import EpisodeSettings
 from banyandale_standins._load import LoadSettings
@@ -26,9 +28,11 @@
 from banyandale_standins._timing import FineSelector
 
 __all__ = [
+    "DEPLOYMENTS",
     "BackendsSettings",
     "Bodies",
     "ColdSettings",
+    "Deployment",
     "EpisodeSettings",
     "Episodes",
     "FineSelector",
