gateway: fetch the configuration from peers; revalidate assignments

Cause: a gateway must start and move on while the platform is down, and a server without a lasting connection has to be treated as cold without failing calls. Change: ConfigPeer and ConfigServer over control links; Dispatcher.revalidate.

--- a/libs/dispatch/src/banyandale_dispatch/_dispatcher.py
+++ b/libs/dispatch/src/banyandale_dispatch/_dispatcher.py
@@ -283,6 +283,22 @@
             and state.phase is not states.Phase.LEAVING
         )
 
+    def revalidate(self, assignment: states.Assignment) -> bool:
+        """Makes an assignment current again if the server's limit allows it.
+
+        Returns:
+            Whether the assigned request may be sent.
+        """
+        if self.is_current(assignment):
+            return True
+        state = assignment.state
+        if state is None or state.phase is states.Phase.LEAVING:
+            return False
+        if state.in_flight > self._limit(state, self._clock.monotonic()):
+            return False
+        assignment.epoch = state.epoch
+        return True
+
     def is_warm(self, address: str) -> bool:
         """Whether a server is known to be warm."""
         state = self._servers.get(address)
--- a/libs/gateway/src/banyandale_gateway/_gateway.py
+++ b/libs/gateway/src/banyandale_gateway/_gateway.py
@@ -15,6 +15,7 @@
 from banyandale_gateway import _backends as backends
 from banyandale_gateway import _budgets as budgets
 from banyandale_gateway import _callers as callers
+from banyandale_gateway import _config_peers as config_peers
 from banyandale_gateway import _handler as handler
 from banyandale_gateway import _homes as homes
 from banyandale_gateway import _local as local
@@ -83,14 +84,19 @@
             metrics=self._metrics,
             clock=self._clock,
         )
+        config_server = config_peers.ConfigServer(
+            node=self._node, metrics=self._metrics
+        )
         self._follower = config.Follower(
             store=store,
             gateway=own.gateway_id,
             boot=self._boot,
+            peers=config_server.list_peers,
             on_change=self._on_configuration,
             metrics=self._metrics,
             clock=self._clock,
         )
+        config_server.attach(self._follower)
         self._vms = vms.VmWatcher(
             vm_list=vm_list, on_change=self._refresh, metrics=self._metrics
         )
--- a/libs/gateway/src/banyandale_gateway/_router.py
+++ b/libs/gateway/src/banyandale_gateway/_router.py
@@ -306,9 +306,13 @@
             await done.wait()
         finally:
             for task in tasks:
-                await task.cancel(blocking=False)
+                await task.cancel()
         if not winner:
             raise failure[0]
+        # Both may have finished before the cancellation.
+        for _, answer in winner[1:]:
+            if answer.rest is not None:
+                await answer.rest.close()
         if winner[0][0] is hedge:
             self._metrics.incr("hedge.won")
         return winner[0][1]
--- a/libs/gateway/src/banyandale_gateway/_sender.py
+++ b/libs/gateway/src/banyandale_gateway/_sender.py
@@ -99,7 +99,7 @@
             ),
             attempt=self._call.attempt,
         )
-        if not self._dispatcher.is_current(self._assignment):
+        if not self._dispatcher.revalidate(self._assignment):
             raise errors.StaleAssignmentError(
                 f"{self.address} turned cold or started leaving"
             )
