http: send and receive without a timeout where the socket is ready

Cause: a profile of one gateway showed curio timeouts and repeated header filtering among the largest costs beside h11. Change: sockets are tried without waiting first; headers are filtered once.

--- a/libs/http/src/banyandale_http/_client.py
+++ b/libs/http/src/banyandale_http/_client.py
@@ -110,8 +110,7 @@
             data += self._http.send(h11.Data(data=request.body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         try:
-            async with core.timeout_at(deadline):
-                await self._send_all(data)
+            await self._send_all(data, deadline)
         except (OSError, curio.TaskTimeout) as error:
             raise errors.SendError(
                 f"{self._address}: {error!r}", run=self._run_mark()
@@ -133,12 +132,17 @@
             return False
         return True
 
-    async def _send_all(self, data: bytes) -> None:
-        view = memoryview(data)
-        while view:
-            count = await self._sock.send(view)
-            self.sent = True
-            view = view[count:]
+    async def _send_all(self, data: bytes, deadline: float) -> None:
+        count = sockets.send_now(self._sock, data)
+        self.sent = count > 0
+        if count == len(data):
+            return
+        view = memoryview(data)[count:]
+        async with core.timeout_at(deadline):
+            while view:
+                count = await self._sock.send(view)
+                self.sent = True
+                view = view[count:]
 
     async def read_head(self, *, deadline: float) -> messages.ResponseHead:
         """Reads status and headers; skips informational responses.
@@ -242,8 +246,9 @@
             while True:
                 event = self._http.next_event()
                 if event is h11.NEED_DATA:
-                    async with core.timeout_at(deadline):
-                        data = await self._sock.recv(RECEIVE_BYTES)
+                    data = await sockets.receive(
+                        self._sock, limit=RECEIVE_BYTES, deadline=deadline
+                    )
                     self._http.receive_data(data)
                     continue
                 return event
--- a/libs/http/src/banyandale_http/_messages.py
+++ b/libs/http/src/banyandale_http/_messages.py
@@ -35,14 +35,16 @@
 
 def strip_connection_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
     """Returns the headers that may be passed on to the next hop."""
-    headers = tuple((bytes(key), bytes(value)) for key, value in headers)
-    listed = find_header(headers, b"connection") or b""
-    named = {token.strip().lower() for token in listed.split(b",")}
-    return tuple(
-        (key, value)
-        for key, value in headers
-        if key not in CONNECTION_HEADERS and key not in named
-    )
+    kept = []
+    named = None
+    for key, value in headers:
+        if key not in CONNECTION_HEADERS:
+            kept.append((key, value))
+        elif key == b"connection":
+            named = {token.strip().lower() for token in value.split(b",")}
+    if named:
+        kept = [pair for pair in kept if pair[0] not in named]
+    return tuple(kept)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/libs/http/src/banyandale_http/_server.py
+++ b/libs/http/src/banyandale_http/_server.py
@@ -116,10 +116,12 @@
     async def send_response(self, response: messages.Response) -> None:
         """Sends a complete response.
 
+        Its headers must not describe the connection or the body's length.
+
         Raises:
             CallerGoneError: The connection failed.
         """
-        headers = list(messages.strip_connection_headers(response.headers))
+        headers = list(response.headers)
         if response.status not in messages.BODILESS_STATUSES:
             length = str(len(response.body)).encode()
             headers.append((b"content-length", length))
@@ -132,13 +134,15 @@
     async def start_response(self, head: messages.ResponseHead) -> None:
         """Sends the head of a streamed response.
 
+        Its headers must not describe the connection or the body's length.
+
         The length is kept where it is known, since a caller that speaks
         HTTP/1.0 has no other way to notice a truncated body.
         """
         framing = (b"transfer-encoding", b"chunked")
         if head.length is not None:
             framing = (b"content-length", str(head.length).encode())
-        headers = [*messages.strip_connection_headers(head.headers), framing]
+        headers = [*head.headers, framing]
         await self._send_bytes(self._encode_head(head.status, headers))
 
     async def send_chunk(self, data: bytes) -> None:
@@ -162,8 +166,10 @@
 
     async def _send_bytes(self, data: bytes) -> None:
         try:
-            async with core.timeout_at(time.monotonic() + STALL_SECONDS):
-                await self._sock.sendall(data)
+            count = sockets.send_now(self._sock, data)
+            if count < len(data):
+                async with core.timeout_at(time.monotonic() + STALL_SECONDS):
+                    await self._sock.sendall(memoryview(data)[count:])
             self.used_at = time.monotonic()
         except (OSError, curio.TaskTimeout) as error:
             raise errors.CallerGoneError(
--- a/libs/http/src/banyandale_http/_sockets.py
+++ b/libs/http/src/banyandale_http/_sockets.py
@@ -91,3 +91,37 @@
         return None
     except OSError:
         return b""
+
+
+def send_now(sock: curio.io.Socket, data: bytes | memoryview) -> int:
+    """Sends as much as fits into the socket's buffer, without waiting.
+
+    Most messages fit, and a timeout costs more than the system call.
+
+    Returns:
+        The number of bytes sent.
+
+    Raises:
+        OSError: The connection failed.
+    """
+    try:
+        return sock._socket.send(data)
+    except (BlockingIOError, InterruptedError):
+        return 0
+
+
+async def receive(
+    sock: curio.io.Socket, *, limit: int, deadline: float
+) -> bytes:
+    """Receives up to `limit` bytes; b"" at the end of the stream.
+
+    Raises:
+        OSError: The connection failed.
+        curio.TaskTimeout: The deadline (monotonic seconds) passed.
+    """
+    try:
+        return sock._socket.recv(limit)
+    except (BlockingIOError, InterruptedError):
+        pass
+    async with core.timeout_at(deadline):
+        return await sock.recv(limit)
