Add the commands of the stand-ins, demo and measurements

The demo starts a deployment as processes, takes a zone out of service and back under load and fails when a requirement of the design page is broken. The measurement gives the same calls to several policies in turn and writes raw results, medians and a plot.

--- a/libs/standins/src/banyandale_standins/_admin.py
+++ b/libs/standins/src/banyandale_standins/_admin.py
@@ -80,7 +80,8 @@
 
     Raises:
         HttpError: No response.
-        ValueError: The response has another status than 200, or no JSON.
+        ValueError: The response has another status than 200 or 204, or it
+            has no JSON.
     """
     deadline = time.monotonic() + CALL_SECONDS
     connection = await http.ClientConnection.open(
@@ -97,6 +98,8 @@
         )
     finally:
         await connection.close()
+    if response.status == 204:
+        return None
     if response.status != 200:
         raise ValueError(
             f"{address}{target}: status {response.status}:"
--- /dev/null
+++ b/libs/standins/src/banyandale_standins/_commands.py
@@ -0,0 +1,292 @@
+"""Commands of `python -m banyandale_standins`."""
+
+import dataclasses
+import json
+import logging
+import pathlib
+import signal
+import tempfile
+
+from cleo.commands import command
+from cleo.helpers import argument
+from cleo.helpers import option
+import curio
+import pydantic
+
+import banyandale_core as core
+from banyandale_standins import _backend as backend
+from banyandale_standins import _demo as demo
+from banyandale_standins import _deployments as deployments
+from banyandale_standins import _load as load
+from banyandale_standins import _measure as measure
+from banyandale_standins import _platform as platform
+from banyandale_standins import _relay as relay
+from banyandale_standins import _reports as reports
+from banyandale_standins import _system as system
+from banyandale_standins import _timing as timing
+
+EXIT_FAILED = 1
+SETTINGS = argument("settings", description="JSON file with the settings")
+
+
+def run(corofunc: object, *args: object) -> object:
+    """Runs a coroutine function until it returns."""
+    # Curio reports each operation that ends after its deadline, which under
+    # load is most of the output.
+    logging.getLogger("curio").setLevel(logging.ERROR)
+    return curio.run(corofunc, *args, selector=timing.FineSelector())
+
+
+def stop_on_sigterm() -> None:
+    """Makes SIGTERM an exception, so that `finally` stops all processes."""
+    signal.signal(signal.SIGTERM, _exit)
+
+
+def _exit(number: int, frame: object) -> None:
+    del frame
+    # The exit status of a shell for a process that a signal ended.
+    raise SystemExit(128 + number)
+
+
+def read_settings(
+    path: str, model: type[pydantic.BaseModel]
+) -> pydantic.BaseModel:
+    """Reads a JSON file and checks it."""
+    return model.model_validate_json(pathlib.Path(path).read_text())
+
+
+class PlatformCommand(command.Command):
+    """Runs the platform stand-in."""
+
+    name = "platform"
+    description = "Run the platform stand-in until it is ended"
+    options = [
+        option("address", description="ip:port", flag=False, default=None)
+    ]
+
+    def handle(self) -> int:
+        """Serves until the process is ended."""
+        address = self.option("address") or deployments.TRUST.platform_address()
+        run(_serve_platform, address)
+        return 0
+
+
+async def _serve_platform(address: str) -> None:
+    await platform.serve_platform(address=address)
+
+
+class BackendsCommand(command.Command):
+    """Runs backend servers."""
+
+    name = "backends"
+    description = "Run backend server stand-ins until they are ended"
+    arguments = [SETTINGS]
+
+    def handle(self) -> int:
+        """Serves until the process is ended."""
+        config = read_settings(
+            self.argument("settings"), backend.BackendsSettings
+        )
+        run(_serve_backends, config)
+        return 0
+
+
+async def _serve_backends(config: backend.BackendsSettings) -> None:
+    await backend.serve_backends(config=config)
+
+
+class RelayCommand(command.Command):
+    """Runs the relay between zones."""
+
+    name = "relay"
+    description = "Run the link relay until it is ended"
+    arguments = [SETTINGS]
+
+    def handle(self) -> int:
+        """Serves until the process is ended."""
+        config = read_settings(self.argument("settings"), relay.RelaySettings)
+        run(_serve_relay, config)
+        return 0
+
+
+async def _serve_relay(config: relay.RelaySettings) -> None:
+    await relay.serve_relay(config=config)
+
+
+class LoadCommand(command.Command):
+    """Runs a load."""
+
+    name = "load"
+    description = "Send an open-loop load and print its results as JSON"
+    arguments = [SETTINGS]
+    options = [option("result", description="file for the JSON", flag=False)]
+
+    def handle(self) -> int:
+        """Sends all calls, then writes the results."""
+        config = read_settings(self.argument("settings"), load.LoadSettings)
+        result = json.dumps(run(_run_load, config).to_json())
+        if self.option("result"):
+            pathlib.Path(self.option("result")).write_text(result)
+        else:
+            self.line(result)
+        return 0
+
+
+async def _run_load(config: load.LoadSettings) -> object:
+    return await load.run_load(config=config)
+
+
+SYSTEM_OPTIONS = [
+    option(
+        "deployment",
+        description=" or ".join(deployments.DEPLOYMENTS),
+        flag=False,
+        default="trust",
+    ),
+    option(
+        "gateways", description="number of gateways", flag=False, default="6"
+    ),
+    option(
+        "slow-down",
+        description="factor for service times; the load gets lower by it",
+        flag=False,
+        default="1",
+    ),
+    option("port", description="first port", flag=False, default=None),
+    option(
+        "seed", description="seed of load and faults", flag=False, default="1"
+    ),
+]
+
+
+def plan_deployment(cli: command.Command) -> deployments.Deployment:
+    """Returns the deployment that the options of a command name."""
+    deployment = deployments.DEPLOYMENTS[cli.option("deployment")]
+    port = int(cli.option("port") or deployment.port)
+    slow_down = float(cli.option("slow-down"))
+    return dataclasses.replace(deployment, port=port).slow_down(slow_down)
+
+
+class DemoCommand(command.Command):
+    """Runs the demonstration."""
+
+    name = "demo"
+    description = "Take a zone out of service and back under load"
+    options = [
+        *SYSTEM_OPTIONS,
+        option(
+            "share",
+            description="load as a share of the servers' capacity",
+            flag=False,
+            default="0.4",
+        ),
+        option(
+            "routing", description="home|direct", flag=False, default="home"
+        ),
+        option(
+            "policy",
+            description="policy of the gateways",
+            flag=False,
+            default="least_loaded",
+        ),
+    ]
+
+    def handle(self) -> int:
+        """Runs it and prints what it showed; 1 if a requirement broke."""
+        stop_on_sigterm()
+        with tempfile.TemporaryDirectory() as folder:
+            running = system.System(
+                deployment=plan_deployment(self),
+                gateways=int(self.option("gateways")),
+                variant=system.Variant(
+                    routing=self.option("routing"),
+                    policy=self.option("policy"),
+                ),
+                folder=pathlib.Path(folder),
+                seed=int(self.option("seed")),
+            )
+            try:
+                report = run(self._run, running)
+            except core.CodedError as error:
+                self.line_error(f"error: {error.code}: {error}")
+                return EXIT_FAILED
+            finally:
+                statuses = running.stop()
+        return self._show(report, statuses)
+
+    async def _run(self, running: system.System) -> demo.DemoReport:
+        self.line("starting")
+        await running.start()
+        self.line(f"{len(running.processes.names())} processes are ready")
+        share = float(self.option("share"))
+        return await demo.Demo(
+            running=running, share=share, say=self.line
+        ).run()
+
+    def _show(self, report: demo.DemoReport, statuses: dict[str, int]) -> int:
+        result = report.result
+        rows = reports.build_rows(result, report.costs)
+        self.render_table(list(reports.HEADERS), rows)
+        headers = ["phase", "service", "calls", "ok", "p50", "p99", "p99.9"]
+        self.render_table(headers, reports.build_service_rows(result))
+        if rows := reports.build_reason_rows(result):
+            headers = ["phase", "service", "kind", "reason", "calls"]
+            self.render_table(headers, rows)
+        last = report.last_request_seconds
+        self.line(
+            "last new request in the zone out of service: "
+            + ("none" if last is None else f"{last:.1f} s after the change")
+        )
+        lateness = result.lateness.summarize()
+        self.line(
+            f"load tools: start late by {lateness['p50']:.2f} ms (p50) and"
+            f" {lateness['p99']:.2f} ms (p99), {dict(result.counters)}"
+        )
+        failed = {
+            name: status
+            for name, status in statuses.items()
+            if name.startswith("gw-") and status
+        }
+        violations = list(report.violations)
+        if failed:
+            violations.append(f"gateways ended with an error: {failed}")
+        for violation in violations:
+            self.line_error(f"requirement broken: {violation}")
+        return EXIT_FAILED if violations else 0
+
+
+class MeasureCommand(command.Command):
+    """Repeats the measurements."""
+
+    name = "measure"
+    description = "Compare policies under the same load; writes docs"
+    options = [
+        *SYSTEM_OPTIONS,
+        option(
+            "variants",
+            description="comma-separated routing/policy",
+            flag=False,
+            default=",".join(measure.VARIANTS),
+        ),
+        option("repeats", description="runs each", flag=False, default="3"),
+        option("docs", description="folder", flag=False, default="docs"),
+    ]
+
+    def handle(self) -> int:
+        """Runs every variant in turn, as often as asked for."""
+        plan = measure.Plan(
+            deployment=plan_deployment(self),
+            gateways=int(self.option("gateways")),
+            variants=tuple(self.option("variants").split(",")),
+            repeats=int(self.option("repeats")),
+            seed=int(self.option("seed")),
+            slow_down=float(self.option("slow-down")),
+        )
+        docs = pathlib.Path(self.option("docs"))
+        stop_on_sigterm()
+        try:
+            run(measure.measure, plan, docs, self.line)
+        except core.CodedError as error:
+            self.line_error(f"error: {error.code}: {error}")
+            return EXIT_FAILED
+        return 0
--- /dev/null
+++ b/libs/standins/src/banyandale_standins/_demo.py
@@ -0,0 +1,133 @@
+"""Demonstration: a zone is taken out of service and back under load."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+import itertools
+import time
+
+import curio
+
+from banyandale_standins import _load as load
+from banyandale_standins import _reports as reports
+from banyandale_standins import _results as results
+from banyandale_standins import _system as system
+
+WARM_UP = "warm-up"
+NORMAL = "normal"
+LEAVING = "zone leaves"
+OUT = "zone out"
+RETURNING = "zone returns"
+AFTER = "normal again"
+PHASE_SECONDS = {
+    WARM_UP: 4.0,
+    NORMAL: 8.0,
+    LEAVING: 5.0,
+    OUT: 5.0,
+    RETURNING: 5.0,
+    AFTER: 6.0,
+}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DemoReport:
+    """What a demonstration showed.
+
+    Attributes:
+        result: Results of all callers.
+        costs: Cost by phase.
+        in_force_seconds: Time until all gateways had the changes.
+        last_request_seconds: How long after the change that took the zone
+            out its servers got the last new request; None if they got none.
+        violations: Requirements that were not met.
+    """
+
+    result: results.RunResult
+    costs: dict[str, reports.PhaseCost]
+    in_force_seconds: list[float]
+    last_request_seconds: float | None
+    violations: Sequence[str]
+
+
+class Demo:
+    """One demonstration on a started system."""
+
+    def __init__(
+        self,
+        *,
+        running: system.System,
+        share: float,
+        say: Callable[[str], None],
+    ) -> None:
+        self._system = running
+        self._share = share
+        self._say = say
+        self._zone = running.deployment.zones[-1]
+        self._in_force: list[float] = []
+        self._readings: list[system.Reading] = []
+        self._out_at = 0.0
+        self._last_request: float | None = None
+
+    async def run(self) -> DemoReport:
+        """Runs all phases and returns what they showed."""
+        phases = [
+            load.PhaseSettings(name=name, seconds=seconds)
+            for name, seconds in PHASE_SECONDS.items()
+        ]
+        start_at = self._system.start_load(share=self._share, phases=phases)
+        for name, seconds in PHASE_SECONDS.items():
+            await curio.sleep(max(start_at - time.time(), 0.0))
+            start_at += seconds
+            self._say(f"phase {name}, {seconds:.0f} s")
+            self._readings.append(await self._system.read())
+            await self._act(name)
+        await curio.sleep(max(start_at - time.time(), 0.0))
+        self._readings.append(await self._system.read())
+        result = await self._system.finish_load()
+        return await self._report(result)
+
+    async def _act(self, phase: str) -> None:
+        if phase == LEAVING:
+            self._out_at = time.time()
+            await self._change_zones((self._zone,))
+        elif phase == RETURNING:
+            servers = await self._system.read_servers(self._zone)
+            last = max(server["last_request_at"] for server in servers)
+            if last > self._out_at:
+                self._last_request = last - self._out_at
+            await self._change_zones(())
+
+    async def _change_zones(self, out: Sequence[str]) -> None:
+        generation = await self._system.apply_zones(out=out)
+        seconds = await self._system.wait_in_force()
+        self._in_force.append(seconds)
+        self._say(
+            f"generation {generation} (out of service:"
+            f" {', '.join(out) or 'none'}) in force after {seconds:.1f} s"
+        )
+
+    async def _report(self, result: results.RunResult) -> DemoReport:
+        violations = list(
+            reports.find_violations(
+                result=result,
+                effects=await self._system.read_effects(),
+                last=await self._system.read(),
+            )
+        )
+        if (self._last_request or 0.0) > reports.ZONE_OUT_SECONDS:
+            violations.append(
+                f"zone {self._zone} got new work {self._last_request:.1f} s"
+                " after it was taken out of service"
+            )
+        pairs = itertools.pairwise(self._readings)
+        costs = {
+            name: reports.compare_readings(before, after)
+            for name, (before, after) in zip(PHASE_SECONDS, pairs, strict=True)
+        }
+        return DemoReport(
+            result=result,
+            costs=costs,
+            in_force_seconds=self._in_force,
+            last_request_seconds=self._last_request,
+            violations=violations,
+        )
--- a/libs/standins/src/banyandale_standins/_deployments.py
+++ b/libs/standins/src/banyandale_standins/_deployments.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Sequence
 import dataclasses
+from typing import Self
 
 from banyandale_standins import _backend as backend
 from banyandale_standins import _load as load
@@ -85,6 +86,22 @@
     services: tuple[ServicePlan, ...]
     port: int = DEFAULT_PORT
 
+    def slow_down(self, factor: float) -> Self:
+        """Returns the deployment with longer service times.
+
+        The same share of the capacity then needs fewer calls per second.
+        """
+        services = tuple(
+            dataclasses.replace(
+                service,
+                profile=service.profile.model_copy(
+                    update={"mean_ms": service.profile.mean_ms * factor}
+                ),
+            )
+            for service in self.services
+        )
+        return dataclasses.replace(self, services=services)
+
     def build_network(self) -> networks.Network:
         """Returns the prefixes of the zones and the delay between them."""
         prefixes = {zone: self._prefix(zone) for zone in self.zones}
--- /dev/null
+++ b/libs/standins/src/banyandale_standins/_processes.py
@@ -0,0 +1,109 @@
+"""Processes of a demo or measurement, started and ended by their handles."""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import os
+import pathlib
+import subprocess
+import sys
+import time
+
+import banyandale_core as core
+
+MAX_PROCESSES = 60
+# A gateway drains for about 3 s before it exits.
+STOP_SECONDS = 10.0
+KILL_SECONDS = 5.0
+LOG_TAIL_BYTES = 2000
+
+
+class ProcessError(core.CodedError):
+    """A process ended by itself, or too many are running."""
+
+    code = "process_failed"
+
+
+class Processes:
+    """All processes of one run. Their output goes to files in `folder`."""
+
+    def __init__(self, *, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self._running: dict[str, subprocess.Popen] = {}
+
+    def start(
+        self,
+        name: str,
+        arguments: Sequence[str],
+        *,
+        environment: Mapping[str, str] | None = None,
+    ) -> None:
+        """Starts `python -m <arguments>` under a name that is not in use.
+
+        Raises:
+            ProcessError: Too many processes.
+        """
+        if len(self._running) >= MAX_PROCESSES:
+            raise ProcessError(f"more than {MAX_PROCESSES} processes")
+        with self._log_path(name).open("ab") as log:
+            self._running[name] = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                env={**os.environ, **(environment or {})},
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    def _log_path(self, name: str) -> pathlib.Path:
+        return self._folder / f"{name}.log"
+
+    def names(self) -> tuple[str, ...]:
+        """Returns the names of all processes that were not stopped."""
+        return tuple(self._running)
+
+    def check(self) -> None:
+        """Raises `ProcessError` when a process ended by itself."""
+        for name, process in self._running.items():
+            status = process.poll()
+            if status is not None:
+                raise ProcessError(
+                    f"{name} ended with status {status}: {self.read_log(name)}"
+                )
+
+    def is_running(self, name: str) -> bool:
+        """Whether the process has not ended."""
+        return self._running[name].poll() is None
+
+    def read_log(self, name: str) -> str:
+        """Returns the end of a process's output."""
+        data = self._log_path(name).read_bytes()
+        return data[-LOG_TAIL_BYTES:].decode(errors="replace")
+
+    def read_cpu_seconds(self, name: str) -> float:
+        """Returns the processor time that a running process has used."""
+        stat = pathlib.Path(f"/proc/{self._running[name].pid}/stat")
+        # The fields after the command name, which may contain spaces.
+        fields = stat.read_text().rpartition(")")[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / os.sysconf("SC_CLK_TCK")
+
+    def stop(self, names: Sequence[str]) -> dict[str, int]:
+        """Ends processes by SIGTERM, and by SIGKILL if they do not end.
+
+        Returns:
+            Exit statuses by name; negative for the number of a signal.
+        """
+        processes = {name: self._running.pop(name) for name in names}
+        for process in processes.values():
+            process.terminate()
+        deadline = time.monotonic() + STOP_SECONDS
+        for process in processes.values():
+            try:
+                process.wait(max(deadline - time.monotonic(), 0.0))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait(KILL_SECONDS)
+        return {name: process.returncode for name, process in processes.items()}
+
+    def stop_all(self) -> dict[str, int]:
+        """Ends all processes, the last started first."""
+        return self.stop(tuple(reversed(self._running)))
--- /dev/null
+++ b/libs/standins/src/banyandale_standins/_reports.py
@@ -0,0 +1,138 @@
+"""What a run shows: rows per phase, and requirements that it broke."""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+
+from banyandale_standins import _results as results
+from banyandale_standins import _system as system
+
+# Goal of the design for new work in a zone that was taken out of service.
+ZONE_OUT_SECONDS = 3.0
+
+HEADERS = (
+    "phase",
+    "calls",
+    "ok",
+    "rejected",
+    "failed",
+    "wrong",
+    "p50 ms",
+    "p99 ms",
+    "p99.9 ms",
+    "gateway CPU ms/call",
+    "probes/1000 calls",
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PhaseCost:
+    """What a phase cost besides latency.
+
+    Attributes:
+        gateway_cpu: Processor seconds of all gateways.
+        probes: Load reports that the backend servers were asked for.
+    """
+
+    gateway_cpu: float
+    probes: int
+
+
+def compare_readings(
+    before: system.Reading, after: system.Reading
+) -> PhaseCost:
+    """Returns the cost of the time between two readings."""
+    return PhaseCost(
+        gateway_cpu=after.gateway_cpu - before.gateway_cpu,
+        probes=after.backends.get("load_requests", 0)
+        - before.backends.get("load_requests", 0),
+    )
+
+
+def build_rows(
+    result: results.RunResult, costs: Mapping[str, PhaseCost]
+) -> list[list[str]]:
+    """Returns one row per phase, with the columns of `HEADERS`."""
+    rows = []
+    for phase in result.services:
+        total = result.total(phase)
+        latency = total.latency.summarize()
+        cost = costs.get(phase)
+        sent = max(total.sent, 1)
+        rows.append(
+            [
+                phase,
+                str(total.sent),
+                str(total.ok),
+                str(total.rejected.total()),
+                str(total.failed.total()),
+                str(total.wrong.total()),
+                *(
+                    f"{latency[name]:.1f}" if name in latency else "-"
+                    for name in results.PERCENTILES
+                ),
+                f"{cost.gateway_cpu / sent * 1000:.2f}" if cost else "-",
+                f"{cost.probes / sent * 1000:.1f}" if cost else "-",
+            ]
+        )
+    return rows
+
+
+def build_service_rows(result: results.RunResult) -> list[list[str]]:
+    """Returns phase, service, calls, ok, p50, p99, p99.9 by phase."""
+    rows = []
+    for phase, services in result.services.items():
+        for name, service in sorted(services.items()):
+            latency = service.latency.summarize()
+            figures = [
+                f"{latency[key]:.1f}" if key in latency else "-"
+                for key in results.PERCENTILES
+            ]
+            counts = [str(service.sent), str(service.ok)]
+            rows.append([phase, name, *counts, *figures])
+    return rows
+
+
+def build_reason_rows(result: results.RunResult) -> list[list[str]]:
+    """Returns phase, service, kind, reason and count of calls without ok."""
+    return [
+        [phase, name, kind, reason, str(count)]
+        for phase, services in result.services.items()
+        for name, service in sorted(services.items())
+        for kind in results.COUNTERS
+        for reason, count in sorted(getattr(service, kind).items())
+    ]
+
+
+def find_violations(
+    *,
+    result: results.RunResult,
+    effects: Mapping[str, int],
+    last: system.Reading,
+) -> Sequence[str]:
+    """Returns the invariants that a run broke, one sentence each."""
+    not_run = result.keys["not-run"]
+    wrong = sum(
+        service.wrong.total()
+        for services in result.services.values()
+        for service in services.values()
+    )
+    counts = {
+        "responses were incomplete or belonged to another request": wrong,
+        "non-idempotent requests ran more than once": sum(
+            count > 1 for count in effects.values()
+        ),
+        "requests ran although a rejection said that they had not": sum(
+            key in effects for key in not_run
+        ),
+        "requests got a response but never ran": sum(
+            key not in effects for key in result.keys["ok"]
+        ),
+        "cold servers got more than they can handle": last.backends.get(
+            "cold_overruns", 0
+        ),
+        "requests reached servers late after they began to leave": (
+            last.backends.get("late_requests_while_leaving", 0)
+        ),
+    }
+    return [f"{count} {text}" for text, count in counts.items() if count]
--- /dev/null
+++ b/libs/standins/src/banyandale_standins/_system.py
@@ -0,0 +1,304 @@
+"""A whole deployment as processes on this machine."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+import json
+import pathlib
+import time
+from typing import Any
+
+import curio
+import pydantic
+
+import banyandale_config as config
+import banyandale_core as core
+import banyandale_http as http
+import banyandale_platform as platform
+from banyandale_standins import _admin as admin
+from banyandale_standins import _deployments as deployments
+from banyandale_standins import _load as load
+from banyandale_standins import _processes as processes
+from banyandale_standins import _results as results
+
+STANDINS = "banyandale_standins"
+GATEWAY = ("banyandale", "gateway")
+START_SECONDS = 30.0
+POLL_SECONDS = 0.1
+# Time for load tools to start before their first call.
+LOAD_START_SECONDS = 2.0
+LOAD_END_SECONDS = 30.0
+
+
+class StartError(core.CodedError):
+    """The system did not start in time."""
+
+    code = "start_failed"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Variant:
+    """How the gateways of a system choose servers."""
+
+    routing: str = "home"
+    policy: str = "least_loaded"
+
+    @property
+    def name(self) -> str:
+        """A short name for tables."""
+        return f"{self.routing}/{self.policy}"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Reading:
+    """Totals of all processes at one time.
+
+    Attributes:
+        unix: When they were read, in Unix seconds.
+        gateway_cpu: Processor seconds of all gateways.
+        gateways: Sums of the gateways' counters.
+        backends: Sums of the backend servers' counters.
+    """
+
+    unix: float
+    gateway_cpu: float
+    gateways: dict[str, int]
+    backends: dict[str, int]
+
+
+class System:
+    """Platform, backend servers, relay and gateways of one deployment."""
+
+    def __init__(
+        self,
+        *,
+        deployment: deployments.Deployment,
+        gateways: int,
+        variant: Variant,
+        folder: pathlib.Path,
+        seed: int = 1,
+    ) -> None:
+        self.deployment = deployment
+        self.gateways = deployment.plan_gateways(gateways)
+        self.processes = processes.Processes(folder=folder)
+        self._variant = variant
+        self._folder = folder
+        self._seed = seed
+        self._generation = 0
+        self._publisher: config.Publisher | None = None
+
+    async def start(self) -> None:
+        """Starts everything and waits until the configuration is in force."""
+        address = self.deployment.platform_address()
+        self.processes.start(
+            "platform", (STANDINS, "platform", f"--address={address}")
+        )
+        for zone in self.deployment.zones:
+            settings = self.deployment.build_backends(zone, seed=self._seed)
+            self._start_standin("backends", f"backends-{zone}", settings)
+        settings = self.deployment.build_relay(self.gateways, seed=self._seed)
+        self._start_standin("relay", "relay", settings)
+        await self._wait_for("platform", self._list_vms)
+        for gateway in self.gateways:
+            self._start_gateway(gateway)
+        self._publisher = config.Publisher(
+            store=platform.HttpObjectStore(address=address)
+        )
+        await self.apply_zones(out=())
+        await self._wait_for("gateways", self._is_in_force)
+        await self._wait_for("homes", self._has_homes)
+
+    def _start_standin(
+        self, command: str, name: str, settings: pydantic.BaseModel
+    ) -> None:
+        path = self._folder / f"{name}.json"
+        path.write_text(settings.model_dump_json())
+        self.processes.start(name, (STANDINS, command, str(path)))
+
+    def _start_gateway(self, gateway: deployments.GatewayPlan) -> None:
+        values = {
+            "ID": gateway.name,
+            "ZONE": gateway.zone,
+            "LISTEN": gateway.listen,
+            "PEER_LISTEN": gateway.peer_listen,
+            "PEER_ADVERTISE": gateway.peer_advertise,
+            "PLATFORM": self.deployment.platform_address(),
+            "PEER_SECRET": deployments.PEER_SECRET,
+            "ROUTING": self._variant.routing,
+            "POLICY": self._variant.policy,
+            "SOURCE": gateway.ip,
+        }
+        self.processes.start(
+            gateway.name,
+            GATEWAY,
+            environment={f"BANYANDALE_{k}": v for k, v in values.items()},
+        )
+
+    async def _wait_for(
+        self, what: str, check: Callable[[], Awaitable[bool]]
+    ) -> None:
+        deadline = time.monotonic() + START_SECONDS
+        while time.monotonic() < deadline:
+            self.processes.check()
+            try:
+                if await check():
+                    return
+            except (http.HttpError, ValueError):
+                pass
+            await curio.sleep(POLL_SECONDS)
+        raise StartError(f"{what} did not start in {START_SECONDS:.0f} s")
+
+    async def _list_vms(self) -> bool:
+        """Writes the VM list to the platform."""
+        vms = [
+            {"address": gateway.ip, "zone": gateway.zone, "leaving": False}
+            for gateway in self.gateways
+        ]
+        vms += [
+            {
+                "address": server.address.rpartition(":")[0],
+                "zone": server.zone,
+                "leaving": False,
+            }
+            for server in self.deployment.plan_servers()
+        ]
+        address = self.deployment.platform_address()
+        await admin.call(address, "PUT", "/v1/vms", {"vms": vms})
+        return True
+
+    async def apply_zones(self, *, out: Sequence[str]) -> int:
+        """Publishes the document with some zones out of service."""
+        document = config.Document.model_validate(
+            self.deployment.build_document(zones_out=out)
+        )
+        self._generation = await self._publisher.apply(
+            document,
+            base_generation=self._generation,
+            author="demo",
+            message=f"out of service: {', '.join(out) or 'none'}",
+        )
+        return self._generation
+
+    async def read_statuses(self) -> list[dict[str, Any]]:
+        """Returns the status page of every gateway."""
+        return [
+            await admin.call(gateway.listen, "GET", "/v1/status")
+            for gateway in self.gateways
+        ]
+
+    async def _is_in_force(self) -> bool:
+        pages = await self.read_statuses()
+        return all(page["generation"] >= self._generation for page in pages)
+
+    async def wait_in_force(self) -> float:
+        """Waits until all gateways have the last document; returns seconds."""
+        start = time.monotonic()
+        await self._wait_for("configuration", self._is_in_force)
+        return time.monotonic() - start
+
+    async def _has_homes(self) -> bool:
+        if self._variant.routing != "home":
+            return True
+        pages = await self.read_statuses()
+        held = {
+            (home["service"], home["zone"])
+            for page in pages
+            for home in page["homes"]
+            if home["lease"]
+        }
+        wanted = {
+            (server.service, server.zone)
+            for server in self.deployment.plan_servers()
+        }
+        return held >= wanted
+
+    async def read_servers(self, zone: str) -> list[dict[str, Any]]:
+        """Returns state and counters of the backend servers of a zone."""
+        address = self.deployment.backends_admin(zone)
+        page = await admin.call(address, "GET", "/counters")
+        return page["servers"]
+
+    async def read(self) -> Reading:
+        """Returns the totals of all processes."""
+        gateways: dict[str, int] = {}
+        for page in await self.read_statuses():
+            _add(gateways, page["counters"])
+        backends: dict[str, int] = {}
+        for zone in self.deployment.zones:
+            for server in await self.read_servers(zone):
+                _add(backends, server["counters"])
+        return Reading(
+            unix=time.time(),
+            gateway_cpu=sum(
+                self.processes.read_cpu_seconds(gateway.name)
+                for gateway in self.gateways
+            ),
+            gateways=gateways,
+            backends=backends,
+        )
+
+    async def read_effects(self) -> dict[str, int]:
+        """Returns how often the work behind each key was started."""
+        effects: dict[str, int] = {}
+        for zone in self.deployment.zones:
+            address = self.deployment.backends_admin(zone)
+            page = await admin.call(address, "GET", "/effects")
+            _add(effects, page["effects"])
+        return effects
+
+    def start_load(
+        self, *, share: float, phases: Sequence[load.PhaseSettings]
+    ) -> float:
+        """Starts one load tool per zone; returns their start in Unix time."""
+        start_at = time.time() + LOAD_START_SECONDS
+        for zone in self.deployment.zones:
+            settings = self.deployment.build_load(
+                zone,
+                gateways=self.gateways,
+                share=share,
+                phases=phases,
+                seed=self._seed,
+                start_at=start_at,
+            )
+            path = self._folder / f"load-{zone}.json"
+            path.write_text(settings.model_dump_json())
+            result = self._folder / f"load-{zone}.result.json"
+            result.unlink(missing_ok=True)
+            self.processes.start(
+                f"load-{zone}",
+                (STANDINS, "load", str(path), f"--result={result}"),
+            )
+        return start_at
+
+    async def finish_load(self) -> results.RunResult:
+        """Waits for the load tools and returns their merged results."""
+        names = [f"load-{zone}" for zone in self.deployment.zones]
+        deadline = time.monotonic() + LOAD_END_SECONDS
+        while any(map(self.processes.is_running, names)):
+            if time.monotonic() > deadline:
+                raise processes.ProcessError("load tools did not end")
+            await curio.sleep(POLL_SECONDS)
+        statuses = self.processes.stop(names)
+        for name, status in statuses.items():
+            if status:
+                raise processes.ProcessError(
+                    f"{name} ended with status {status}:"
+                    f" {self.processes.read_log(name)}"
+                )
+        return results.merge(
+            json.loads((self._folder / f"{name}.result.json").read_text())
+            for name in names
+        )
+
+    def stop(self) -> dict[str, int]:
+        """Stops gateways first, then the stand-ins; returns exit statuses."""
+        names = [gateway.name for gateway in self.gateways]
+        running = [name for name in names if name in self.processes.names()]
+        statuses = self.processes.stop(running)
+        return {**statuses, **self.processes.stop_all()}
+
+
+def _add(total: dict[str, int], counters: dict[str, int]) -> None:
+    for name, count in counters.items():
+        total[name] = total.get(name, 0) + count
--- /dev/null
+++ b/libs/standins/tests/test_main.py
@@ -0,0 +1,83 @@
+"""Tests of the commands and of the tables that they print."""
+
+import json
+import pathlib
+
+import pytest
+
+from banyandale_standins import _measure as measure
+from banyandale_standins import _processes as processes
+from banyandale_standins import _reports as reports
+from banyandale_standins import _results as results
+from banyandale_standins import _system as system
+
+
+def test_processes_are_stopped_and_early_ends_noticed(tmp_path):
+    """Guards against processes that outlive a run, and silent failures."""
+    running = processes.Processes(folder=tmp_path)
+    running.start("standin", ("banyandale_standins", "platform", "--address=x"))
+    running._running["standin"].wait(10)
+    with pytest.raises(processes.ProcessError, match="ip:port"):
+        running.check()
+    running.start("server", ("http.server", "--bind=127.0.0.1", "0"))
+    assert running.is_running("server")
+    process = running._running["server"]
+    assert running.stop_all()["server"] != 0
+    assert process.returncode is not None
+    assert running.names() == ()
+
+
+def test_violations_are_found():
+    """Guards against a demo that passes whatever happens."""
+    result = results.RunResult()
+    reading = system.Reading(unix=0, gateway_cpu=0, gateways={}, backends={})
+    result.keys["ok"] = ["a"]
+    assert not reports.find_violations(
+        result=result, effects={"a": 1}, last=reading
+    )
+    result.keys["ok"].append("lost")
+    result.keys["not-run"] = ["b"]
+    result.find("p", "s").wrong["wrong_body"] = 1
+    reading.backends["cold_overruns"] = 1
+    found = reports.find_violations(
+        result=result, effects={"a": 2, "b": 1}, last=reading
+    )
+    assert len(found) == 5
+    assert all(text.startswith("1 ") for text in found)
+
+
+def make_phase(p99):
+    summary = {
+        "sent": 100,
+        "ok": 99,
+        "latency_ms": {"p50": 1.0, "p99": p99, "p999": 9.0},
+    }
+    return {
+        "seconds": 10,
+        "gateway_cpu_ms_per_call": 0.5,
+        "probes": 0,
+        "all": summary,
+        "services": {"s": summary},
+    }
+
+
+def test_page_shows_medians(tmp_path: pathlib.Path):
+    """Guards against means or single runs in the page."""
+    runs = [
+        {
+            "variant": variant,
+            "seed": 1,
+            "lateness_ms": {"p50": 0.1, "p99": 0.2},
+            "violations": [],
+            "phases": {name: make_phase(p99) for name in measure.MEASURED},
+        }
+        for variant, p99 in [("x/y", 5.0), ("x/y", 7.0), ("x/y", 90.0)]
+    ]
+    raw = {"command": "c", "date": "d", "deployment": "trust", "runs": runs}
+    (tmp_path / "measurements").mkdir()
+    (tmp_path / "measurements/trust.json").write_text(json.dumps(raw))
+    measure.write_page(tmp_path)
+    page = (tmp_path / "MEASUREMENTS.md").read_text()
+    assert "| x/y | s | 99.00% | 10 | 1.0 | 7.0 | 9.0 |" in page
+    assert "median of 3 runs" in page
+    assert (tmp_path / "measurements/trust.png").stat().st_size > 1000
