Add the publisher and the follower of the configuration

Cause: an accepted configuration has to be in force in every gateway within seconds and must never revert, while responses of the platform get lost, operators race and the platform has outages.

Change: a change is accepted by a conditional update of the root. A lost response is resolved by the attempt in the root, or in the history when the root has been replaced since. The history of a root is written before the root is replaced. Old parts are swept at the versions listed before the root update, so that a concurrent change that relies on one makes the deletion conflict.

--- a/libs/config/src/banyandale_config/__init__.py
+++ b/libs/config/src/banyandale_config/__init__.py
@@ -14,6 +14,8 @@
 from banyandale_config._errors import DamagedConfigError
 from banyandale_config._errors import GenerationNotFoundError
 from banyandale_config._errors import InvalidDocumentError
+from banyandale_config._follower import Follower
+from banyandale_config._follower import Peer
 from banyandale_config._models import Document
 from banyandale_config._models import ServerModel
 from banyandale_config._models import ServiceModel
@@ -21,6 +23,13 @@
 from banyandale_config._problems import format_path
 from banyandale_config._problems import Problem
 from banyandale_config._problems import Severity
+from banyandale_config._publisher import HistoryEntry
+from banyandale_config._publisher import KEPT_GENERATIONS
+from banyandale_config._publisher import Published
+from banyandale_config._publisher import Publisher
+from banyandale_config._rollout import GatewayStatus
+from banyandale_config._rollout import read_statuses
+from banyandale_config._rollout import Rollout
 from banyandale_config._snapshot import build_snapshot
 from banyandale_config._snapshot import Server
 from banyandale_config._snapshot import Service
@@ -28,15 +37,23 @@
 from banyandale_config._snapshot import Zone
 
 __all__ = [
+    "KEPT_GENERATIONS",
     "Change",
     "ConfigConflictError",
     "ConfigError",
     "ConfigOutcomeUnknownError",
     "DamagedConfigError",
     "Document",
+    "Follower",
+    "GatewayStatus",
     "GenerationNotFoundError",
+    "HistoryEntry",
     "InvalidDocumentError",
+    "Peer",
     "Problem",
+    "Published",
+    "Publisher",
+    "Rollout",
     "Server",
     "ServerModel",
     "Service",
@@ -53,5 +70,6 @@
     "dump_yaml",
     "format_path",
     "load",
+    "read_statuses",
     "read_text",
 ]
--- a/libs/config/src/banyandale_config/_models.py
+++ b/libs/config/src/banyandale_config/_models.py
@@ -15,9 +15,10 @@
 
 MAX_ZONES = 256
 # Bounds that keep the root and each part below the platform's limit of 1 MB
-# per value: about 140 bytes per service in the root, and per server in a part.
+# per value: at most 140 bytes per service in the root and 200 bytes per
+# server in a part.
 MAX_SERVICES = 4000
-MAX_SERVERS = 5000
+MAX_SERVERS = 4000
 
 MAX_PORT = 65535
 MAX_TIMEOUT_MS = 3_600_000
@@ -201,14 +202,8 @@
     )
 
 
-class RootModel(StrictModel):
-    """Value of the object `config/root`.
-
-    Unknown keys are accepted, so that a gateway keeps following while a
-    newer version of the program publishes.
-    """
-
-    model_config = pydantic.ConfigDict(extra="ignore")
+class ConfigRoot(StrictModel):
+    """Value of the object `config/root`."""
 
     writer: str
     attempt: str
--- /dev/null
+++ b/libs/config/src/banyandale_config/_publisher.py
@@ -0,0 +1,483 @@
+"""Publication of documents.
+
+Accepted means that the conditional update of the root took effect. The steps
+of one change are:
+
+1. Read the root. Its generation must be the base of the document.
+2. Write the history object of the base, in case its publisher stopped before
+   it could.
+3. Write the parts that the base does not name. A part that exists is written
+   again, which gives it a new version.
+4. Update the root at the version read in step 1.
+
+Old parts are deleted in a sweep: parts and history are listed between steps 2
+and 3, and after step 4 the parts that neither the new root nor the kept history
+names are deleted at the listed version. A concurrent publisher that relies on
+one of these parts either wrote it again after reading the new root, so that
+the deletion conflicts, or read an older root, so that its own step 4 conflicts.
+"""
+
+import dataclasses
+import random
+import time
+import uuid
+
+import curio
+
+from banyandale_config import _changes as changes
+from banyandale_config import _errors as errors
+from banyandale_config import _models as models
+from banyandale_config import _parts as parts
+from banyandale_config import _rollout as rollout
+import banyandale_core as core
+import banyandale_platform as platform
+import banyandale_retry as retry
+
+KEPT_GENERATIONS = 50
+# A sweep lists all parts, which at 350 services is some megabytes; once in
+# this many generations keeps that rare beside the changes themselves.
+SWEEP_GENERATIONS = 10
+APPLY_SECONDS = 20.0
+CLEANUP_SECONDS = 5.0
+MAX_AUTHOR_CHARACTERS = 100
+MAX_MESSAGE_CHARACTERS = 1000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Published:
+    """A generation with its document.
+
+    Attributes:
+        generation: Its number, from 1 on.
+        document: The document; services are sorted by name.
+        author: Who published it.
+        message: What the author wrote about it.
+        accepted_unix_ms: When it was published, by the publisher's clock.
+    """
+
+    generation: int
+    document: models.Document
+    author: str
+    message: str
+    accepted_unix_ms: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HistoryEntry:
+    """One generation of the history."""
+
+    generation: int
+    author: str
+    message: str
+    accepted_unix_ms: int
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Attempt:
+    """One call of `apply`, across all its tries."""
+
+    document: models.Document
+    base_generation: int
+    author: str
+    message: str
+    accepted_unix_ms: int
+    identity: str
+    # Whether a root update may have reached the platform.
+    sent: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Sweep:
+    """Objects that existed before the root was updated."""
+
+    parts: tuple[platform.StoredObject, ...]
+    history: tuple[platform.StoredObject, ...]
+
+
+class Publisher:
+    """Publishes documents and reads published ones.
+
+    Attributes:
+        writer: Identity of this process, unique among all writers.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: platform.ObjectStore,
+        writer: str | None = None,
+        clock: core.Clock | None = None,
+        metrics: core.Metrics | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.writer = writer or f"publisher-{uuid.uuid4().hex}"
+        self._store = store
+        self._clock = clock or core.SystemClock()
+        self._metrics = metrics or core.MemoryMetrics()
+        self._rng = rng or random.Random()
+
+    async def read(self) -> Published | None:
+        """Returns the published document, or None before the first one."""
+        while (root := await self._read_root()) is not None:
+            try:
+                return await self._read_published(root[1])
+            except errors.DamagedConfigError:
+                # The parts of a replaced root may have been swept meanwhile.
+                again = await self._read_root()
+                if again is None or again[0].version == root[0].version:
+                    raise
+        return None
+
+    async def read_generation(self, generation: int) -> Published:
+        """Returns a document of the history.
+
+        Raises:
+            GenerationNotFoundError: It is not kept any more or never was.
+        """
+        published = await self._find_generation(generation)
+        if published is None:
+            raise errors.GenerationNotFoundError(
+                f"generation {generation} is not in the history"
+            )
+        return published
+
+    async def history(self) -> tuple[HistoryEntry, ...]:
+        """Returns the last 50 generations, the newest first."""
+        listing = await self._store.list(kind=parts.HISTORY_KIND)
+        roots = [parts.read_root(entry.value) for entry in listing.objects]
+        current = await self._read_root()
+        if current is not None:
+            roots.append(current[1])
+        by_generation = {root.generation: root for root in roots}
+        newest = sorted(by_generation, reverse=True)[:KEPT_GENERATIONS]
+        return tuple(
+            HistoryEntry(
+                generation=generation,
+                author=by_generation[generation].author,
+                message=by_generation[generation].message,
+                accepted_unix_ms=by_generation[generation].accepted_unix_ms,
+            )
+            for generation in newest
+        )
+
+    async def restore(
+        self,
+        generation: int,
+        *,
+        base_generation: int,
+        author: str,
+        message: str = "",
+        deadline: float | None = None,
+    ) -> int:
+        """Publishes an old document as a new generation.
+
+        Raises:
+            GenerationNotFoundError: The old document is not kept any more.
+            ConfigError: As for `apply`.
+        """
+        old = await self.read_generation(generation)
+        return await self.apply(
+            old.document,
+            base_generation=base_generation,
+            author=author,
+            message=message or f"restore generation {generation}",
+            deadline=deadline,
+        )
+
+    async def apply(
+        self,
+        document: models.Document,
+        *,
+        base_generation: int,
+        author: str,
+        message: str,
+        deadline: float | None = None,
+    ) -> int:
+        """Publishes a document.
+
+        Args:
+            document: The checked document.
+            base_generation: Generation that the document was made from; 0
+                when there was none.
+            author: Who publishes it.
+            message: What it is for.
+            deadline: Monotonic seconds; by default 20 s from now.
+
+        Returns:
+            The accepted generation, or the base when nothing differs.
+
+        Raises:
+            ConfigConflictError: The base is no longer the newest generation.
+            ConfigOutcomeUnknownError: The deadline passed after the update
+                was sent, and the platform did not say whether it took effect.
+            StoreUnavailableError: The deadline passed before that; nothing
+                took effect.
+        """
+        attempt = _Attempt(
+            document=document,
+            base_generation=base_generation,
+            author=author[:MAX_AUTHOR_CHARACTERS],
+            message=message[:MAX_MESSAGE_CHARACTERS],
+            accepted_unix_ms=int(
+                self._clock.unix() * core.MILLISECONDS_PER_SECOND
+            ),
+            identity=uuid.uuid4().hex,
+        )
+        if deadline is None:
+            deadline = time.monotonic() + APPLY_SECONDS
+        try:
+            async with core.timeout_at(deadline):
+                generation, sweep = await self._try_until_known(attempt)
+        except curio.TaskTimeout as error:
+            if attempt.sent:
+                raise errors.ConfigOutcomeUnknownError(
+                    "the platform did not say whether it accepted the change"
+                ) from error
+            raise platform.StoreUnavailableError(
+                "the platform did not answer; nothing was changed"
+            ) from error
+        if generation != base_generation:
+            self._metrics.incr("config_accepted")
+            await self._try_cleanup(generation, sweep)
+        return generation
+
+    async def _try_until_known(
+        self, attempt: _Attempt
+    ) -> tuple[int, _Sweep | None]:
+        backoff = retry.Backoff(rng=self._rng)
+        while True:
+            try:
+                return await self._try_apply(attempt)
+            except platform.StoreRejectedError:
+                raise
+            except platform.ConflictError:
+                # Another root took effect; the next try finds out which.
+                continue
+            except platform.PlatformError as error:
+                self._metrics.incr(error.code)
+                await curio.sleep(backoff.next_delay())
+
+    async def _try_apply(self, attempt: _Attempt) -> tuple[int, _Sweep | None]:
+        current = await self._read_root()
+        if current is None and attempt.base_generation == 0:
+            return await self._write(attempt, None)
+        if current is None:
+            raise errors.DamagedConfigError("the platform has no root")
+        found, root = current
+        if root.attempt == attempt.identity:
+            return root.generation, None
+        if root.generation == attempt.base_generation:
+            return await self._write(attempt, (found, root))
+        if attempt.sent and await self._was_superseded(attempt):
+            return attempt.base_generation + 1, None
+        raise await self._build_conflict(attempt)
+
+    async def _was_superseded(self, attempt: _Attempt) -> bool:
+        # Whoever replaces a root writes its history object first, so an
+        # accepted change is found there.
+        entry = await self._store.get(
+            kind=parts.HISTORY_KIND,
+            name=parts.history_name(attempt.base_generation + 1),
+        )
+        if entry is None:
+            return False
+        return parts.read_root(entry.value).attempt == attempt.identity
+
+    async def _write(
+        self,
+        attempt: _Attempt,
+        base: tuple[platform.StoredObject, models.ConfigRoot] | None,
+    ) -> tuple[int, _Sweep | None]:
+        names, values = parts.split(attempt.document.services)
+        base_names: set[str] = set()
+        if base is not None:
+            base_names = set(base[1].parts.values())
+            if (
+                base[1].parts == names
+                and base[1].zones == attempt.document.zones
+            ):
+                return attempt.base_generation, None
+        generation = attempt.base_generation + 1
+        if base is not None:
+            await self._write_history(attempt.base_generation, base[0].value)
+        sweep = await self._list_sweep(generation)
+        for name in sorted(values.keys() - base_names):
+            await self._write_part(name, values[name])
+        value = parts.encode(
+            models.ConfigRoot(
+                writer=self.writer,
+                attempt=attempt.identity,
+                generation=generation,
+                zones=attempt.document.zones,
+                parts=names,
+                author=attempt.author,
+                message=attempt.message,
+                accepted_unix_ms=attempt.accepted_unix_ms,
+            ).model_dump(mode="json")
+        )
+        await self._write_root(attempt, value, base and base[0].version)
+        return generation, sweep
+
+    async def _write_root(
+        self, attempt: _Attempt, value: bytes, version: int | None
+    ) -> None:
+        attempt.sent = True
+        if version is None:
+            await self._store.create(
+                kind=parts.ROOT_KIND, name=parts.ROOT_NAME, value=value
+            )
+        else:
+            await self._store.update(
+                kind=parts.ROOT_KIND,
+                name=parts.ROOT_NAME,
+                value=value,
+                version=version,
+            )
+
+    async def _write_part(self, name: str, value: bytes) -> None:
+        try:
+            await self._store.create(
+                kind=parts.PART_KIND, name=name, value=value
+            )
+        except platform.ConflictError as error:
+            if error.current is None:
+                raise
+            await self._store.update(
+                kind=parts.PART_KIND,
+                name=name,
+                value=value,
+                version=error.current.version,
+            )
+
+    async def _write_history(self, generation: int, value: bytes) -> None:
+        try:
+            await self._store.create(
+                kind=parts.HISTORY_KIND,
+                name=parts.history_name(generation),
+                value=value,
+            )
+        except platform.ConflictError:
+            pass
+
+    async def _list_sweep(self, generation: int) -> _Sweep | None:
+        if generation % SWEEP_GENERATIONS:
+            return None
+        listed = await self._store.list(kind=parts.PART_KIND)
+        history = await self._store.list(kind=parts.HISTORY_KIND)
+        return _Sweep(parts=listed.objects, history=history.objects)
+
+    async def _try_cleanup(self, generation: int, sweep: _Sweep | None) -> None:
+        """Writes the history and deletes what it no longer keeps.
+
+        A failure changes nothing about the accepted change: the next
+        publisher writes the history, and the next sweep deletes.
+        """
+        try:
+            async with core.timeout_at(time.monotonic() + CLEANUP_SECONDS):
+                await self._clean_up(generation, sweep)
+        except (platform.PlatformError, errors.DamagedConfigError) as error:
+            self._metrics.incr(error.code)
+        except curio.TaskTimeout:
+            self._metrics.incr("config_cleanup_timeout")
+
+    async def _clean_up(self, generation: int, sweep: _Sweep | None) -> None:
+        current = await self._read_root()
+        if current is None or current[1].generation != generation:
+            return
+        root = current[1]
+        await self._write_history(generation, current[0].value)
+        if sweep is None:
+            return
+        oldest = generation - KEPT_GENERATIONS
+        kept = set(root.parts.values())
+        expired = []
+        for entry in sweep.history:
+            old = parts.read_root(entry.value)
+            if old.generation <= oldest:
+                expired.append(entry)
+            else:
+                kept.update(old.parts.values())
+        unused = [part for part in sweep.parts if part.name not in kept]
+        for entry in (*expired, *unused):
+            await self._try_delete(entry)
+        await rollout.delete_old_statuses(self._store, oldest)
+
+    async def _try_delete(self, entry: platform.StoredObject) -> None:
+        try:
+            await self._store.delete(
+                kind=entry.kind, name=entry.name, version=entry.version
+            )
+        except platform.ConflictError:
+            # Another publisher wrote it again or deleted it.
+            self._metrics.incr("config_sweep_conflict")
+
+    async def _read_root(
+        self,
+    ) -> tuple[platform.StoredObject, models.ConfigRoot] | None:
+        found = await self._store.get(
+            kind=parts.ROOT_KIND, name=parts.ROOT_NAME
+        )
+        return None if found is None else (found, parts.read_root(found.value))
+
+    async def _read_published(self, root: models.ConfigRoot) -> Published:
+        values = {}
+        for name in set(root.parts.values()):
+            part = await self._store.get(kind=parts.PART_KIND, name=name)
+            if part is not None:
+                values[name] = part.value
+        return Published(
+            generation=root.generation,
+            document=parts.join(root, values),
+            author=root.author,
+            message=root.message,
+            accepted_unix_ms=root.accepted_unix_ms,
+        )
+
+    async def _find_generation(self, generation: int) -> Published | None:
+        entry = await self._store.get(
+            kind=parts.HISTORY_KIND, name=parts.history_name(generation)
+        )
+        if entry is not None:
+            root = parts.read_root(entry.value)
+        else:
+            current = await self._read_root()
+            if current is None or current[1].generation != generation:
+                return None
+            root = current[1]
+        try:
+            return await self._read_published(root)
+        except errors.DamagedConfigError:
+            return None
+
+    async def _build_conflict(
+        self, attempt: _Attempt
+    ) -> errors.ConfigConflictError:
+        current = await self.read()
+        if current is None:
+            raise errors.DamagedConfigError("the platform has no root")
+        base = None
+        if attempt.base_generation:
+            base = await self._find_generation(attempt.base_generation)
+        accepted: tuple[changes.Change, ...] = ()
+        if base is not None or attempt.base_generation == 0:
+            accepted = changes.compare(base and base.document, current.document)
+        return errors.ConfigConflictError(
+            generation=current.generation,
+            author=current.author,
+            message=current.message,
+            accepted=accepted,
+            proposed=changes.compare(current.document, attempt.document),
+        )
+
+    async def wait_in_force(
+        self, generation: int, *, deadline: float
+    ) -> rollout.Rollout:
+        """Waits until every live gateway has the generation in force.
+
+        Args:
+            generation: The accepted generation.
+            deadline: Monotonic seconds; then the state so far is returned.
+        """
+        return await rollout.wait_in_force(
+            self._store, generation, deadline=deadline
+        )
