gateway: refresh only the homes held here

Cause: the periodic refresh walked over every service and server, which would cost the control budget at 13,000 upstreams. Change: HomeTable follows Ownership.held() and rebuilds a dispatcher's servers only when its service or the leaving VMs changed.

--- a/libs/gateway/src/banyandale_gateway/_gateway.py
+++ b/libs/gateway/src/banyandale_gateway/_gateway.py
@@ -126,16 +126,15 @@
         own = self._own
         if own.routing is settings.Routing.HOME:
             self._homes = homes.HomeTable(
-                gateway_id=own.gateway_id,
                 ownership=self._ownership,
                 build_dispatcher=self._build_dispatcher,
-                is_vm_leaving=self._vms.is_leaving,
+                vms=self._vms,
                 metrics=self._metrics,
             )
         else:
             self._homes = homes.DirectTable(
                 build_dispatcher=self._build_dispatcher,
-                is_vm_leaving=self._vms.is_leaving,
+                vms=self._vms,
             )
         self._membership = membership.Membership(
             own=own,
@@ -181,10 +180,7 @@
             metrics=self._metrics,
         )
 
-    def _build_dispatcher(
-        self, service: config.Service, zone: str
-    ) -> dispatch.Dispatcher:
-        del zone
+    def _build_dispatcher(self, service: config.Service) -> dispatch.Dispatcher:
         return dispatch.Dispatcher(
             clock=self._clock,
             metrics=self._metrics,
--- a/libs/gateway/src/banyandale_gateway/_homes.py
+++ b/libs/gateway/src/banyandale_gateway/_homes.py
@@ -13,22 +13,38 @@
 
 
 class HomeOwnership(Protocol):
-    """What is known of who holds which home."""
+    """What is known of the homes of this gateway."""
 
     def holds(self, *, service: str, zone: str) -> bool:
         """Whether this gateway holds the home under a valid lease."""
 
-    def holder(self, *, service: str, zone: str) -> str | None:
-        """Returns the gateway that holds the home, as last seen."""
+    def held(self) -> tuple[tuple[str, str], ...]:
+        """Returns the homes of this gateway, even if its lease expired."""
+
+
+class LeavingVms(Protocol):
+    """The VMs that are leaving."""
+
+    @property
+    def leaving(self) -> frozenset[str]:
+        """IP numbers of the VMs that are leaving."""
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Home:
-    """A home and its dispatcher."""
+    """A home and its dispatcher.
+
+    Attributes:
+        service: Name of the service.
+        zone: Availability zone of the servers.
+        dispatcher: Counts and queues requests.
+        built_from: Configuration and leaving VMs that it was last built from.
+    """
 
     service: str
     zone: str
     dispatcher: dispatch.Dispatcher
+    built_from: tuple[config.Service, frozenset[str]] | None = None
 
 
 class HomeTable:
@@ -42,16 +58,14 @@
     def __init__(
         self,
         *,
-        gateway_id: str,
         ownership: HomeOwnership,
-        build_dispatcher: Callable[[config.Service, str], dispatch.Dispatcher],
-        is_vm_leaving: Callable[[str], bool],
+        build_dispatcher: Callable[[config.Service], dispatch.Dispatcher],
+        vms: LeavingVms,
         metrics: core.Metrics,
     ) -> None:
-        self._is_vm_leaving = is_vm_leaving
-        self._gateway_id = gateway_id
         self._ownership = ownership
         self._build_dispatcher = build_dispatcher
+        self._vms = vms
         self._metrics = metrics
         self._homes: dict[tuple[str, str], Home] = {}
         self._by_service: dict[str, tuple[Home, ...]] = {}
@@ -73,49 +87,35 @@
         return self._ownership.holds(service=home.service, zone=home.zone)
 
     def refresh(self, snapshot: config.Snapshot) -> None:
-        """Brings the table in line with configuration and ownership."""
-        wanted = set()
-        for service in snapshot.services:
-            for zone in service_zones(service, snapshot):
-                key = (service.name, zone)
-                if self._ownership.holds(service=service.name, zone=zone):
-                    wanted.add(key)
-                    self._ensure(service, zone)
-                elif key in self._homes and self._may_keep(*key):
-                    wanted.add(key)
-                if key in wanted:
-                    self._update(self._homes[key], service, snapshot)
-        for key in self._homes.keys() - wanted:
+        """Brings the table in line with configuration and ownership.
+
+        Its cost depends on the homes held here only, not on the size of the
+        configuration.
+        """
+        wanted = {}
+        for name, zone in self._ownership.held():
+            service = snapshot.find_service(name)
+            if service is not None and snapshot.is_zone_in(zone):
+                wanted[name, zone] = service
+        for key in self._homes.keys() - wanted.keys():
             del self._homes[key]
             self._metrics.incr("home.dropped")
+        for key, service in wanted.items():
+            home = self._homes.get(key)
+            if home is None:
+                home = self._add(service, key[1])
+            _update_home(home, service, snapshot, self._vms.leaving)
         self._index()
 
-    def _ensure(self, service: config.Service, zone: str) -> None:
-        key = (service.name, zone)
-        if key not in self._homes:
-            self._homes[key] = Home(
-                service=service.name,
-                zone=zone,
-                dispatcher=self._build_dispatcher(service, zone),
-            )
-            self._metrics.incr("home.gained")
-
-    def _may_keep(self, service: str, zone: str) -> bool:
-        holder = self._ownership.holder(service=service, zone=zone)
-        return holder in (None, self._gateway_id)
-
-    def _update(
-        self, home: Home, service: config.Service, snapshot: config.Snapshot
-    ) -> None:
-        configure_dispatcher(home.dispatcher, service)
-        home.dispatcher.update_servers(
-            select_servers(
-                service,
-                snapshot,
-                zone=home.zone,
-                is_vm_leaving=self._is_vm_leaving,
-            )
+    def _add(self, service: config.Service, zone: str) -> Home:
+        home = Home(
+            service=service.name,
+            zone=zone,
+            dispatcher=self._build_dispatcher(service),
         )
+        self._homes[service.name, zone] = home
+        self._metrics.incr("home.gained")
+        return home
 
     def _index(self) -> None:
         by_service: dict[str, list[Home]] = {}
@@ -126,53 +126,6 @@
         }
 
 
-def configure_dispatcher(
-    dispatcher: dispatch.Dispatcher, service: config.Service
-) -> None:
-    """Takes over the limits of a service."""
-    dispatcher.configure(
-        queue_limit=service.queue_limit,
-        cold_limit=service.cold_limit,
-        cold_min_seconds=service.cold_min_ms / core.MILLISECONDS_PER_SECOND,
-    )
-
-
-def service_zones(
-    service: config.Service, snapshot: config.Snapshot
-) -> tuple[str, ...]:
-    """Returns the zones in service that have servers of the service."""
-    zones = {server.zone for server in service.servers}
-    return tuple(sorted(zone for zone in zones if snapshot.is_zone_in(zone)))
-
-
-def select_servers(
-    service: config.Service,
-    snapshot: config.Snapshot,
-    *,
-    is_vm_leaving: Callable[[str], bool],
-    zone: str | None = None,
-) -> tuple[dispatch.Server, ...]:
-    """Returns the servers that may get work, those leaving marked so.
-
-    Args:
-        service: The service.
-        snapshot: The configuration in force.
-        is_vm_leaving: Whether the VM of an address is leaving.
-        zone: Only this zone's servers, or None for all zones in service.
-    """
-    return tuple(
-        dispatch.Server(
-            address=server.address,
-            zone=server.zone,
-            slots=server.slots,
-            leaving=server.is_leaving or is_vm_leaving(server.address),
-        )
-        for server in service.servers
-        if snapshot.is_zone_in(server.zone)
-        and (zone is None or server.zone == zone)
-    )
-
-
 class DirectTable:
     """One dispatcher per service over the servers of all zones.
 
@@ -183,12 +136,13 @@
     def __init__(
         self,
         *,
-        build_dispatcher: Callable[[config.Service, str], dispatch.Dispatcher],
-        is_vm_leaving: Callable[[str], bool],
+        build_dispatcher: Callable[[config.Service], dispatch.Dispatcher],
+        vms: LeavingVms,
     ) -> None:
-        self._is_vm_leaving = is_vm_leaving
         self._build_dispatcher = build_dispatcher
+        self._vms = vms
         self._homes: dict[str, Home] = {}
+        self._zones: tuple[config.Zone, ...] = ()
 
     def homes(self) -> tuple[Home, ...]:
         """Returns all dispatchers."""
@@ -211,17 +165,55 @@
 
     def refresh(self, snapshot: config.Snapshot) -> None:
         """Takes over the configuration."""
+        zones_changed = snapshot.zones != self._zones
+        self._zones = snapshot.zones
         for service in snapshot.services:
             home = self._homes.get(service.name)
             if home is None:
                 home = Home(
                     service=service.name,
                     zone=ALL_ZONES,
-                    dispatcher=self._build_dispatcher(service, ALL_ZONES),
+                    dispatcher=self._build_dispatcher(service),
                 )
                 self._homes[service.name] = home
-            home.dispatcher.update_servers(
-                select_servers(
-                    service, snapshot, is_vm_leaving=self._is_vm_leaving
-                )
+            if zones_changed:
+                home.built_from = None
+            _update_home(home, service, snapshot, self._vms.leaving)
+
+
+def _update_home(
+    home: Home,
+    service: config.Service,
+    snapshot: config.Snapshot,
+    leaving: frozenset[str],
+) -> None:
+    """Takes over changes of the service or of the VMs that are leaving."""
+    if home.built_from == (service, leaving):
+        return
+    home.built_from = (service, leaving)
+    configure_dispatcher(home.dispatcher, service)
+    home.dispatcher.update_servers(
+        tuple(
+            dispatch.Server(
+                address=server.address,
+                zone=server.zone,
+                slots=server.slots,
+                leaving=server.is_leaving
+                or server.address.rpartition(":")[0] in leaving,
             )
+            for server in service.servers
+            if snapshot.is_zone_in(server.zone)
+            and home.zone in (server.zone, ALL_ZONES)
+        )
+    )
+
+
+def configure_dispatcher(
+    dispatcher: dispatch.Dispatcher, service: config.Service
+) -> None:
+    """Takes over the limits of a service."""
+    dispatcher.configure(
+        queue_limit=service.queue_limit,
+        cold_limit=service.cold_limit,
+        cold_min_seconds=service.cold_min_ms / core.MILLISECONDS_PER_SECOND,
+    )
--- a/libs/gateway/src/banyandale_gateway/_vms.py
+++ b/libs/gateway/src/banyandale_gateway/_vms.py
@@ -32,9 +32,10 @@
         self._metrics = metrics
         self._leaving: frozenset[str] = frozenset()
 
-    def is_leaving(self, address: str) -> bool:
-        """Whether the VM of `ip:port` is leaving."""
-        return address.rpartition(":")[0] in self._leaving
+    @property
+    def leaving(self) -> frozenset[str]:
+        """IP numbers of the VMs that are leaving."""
+        return self._leaving
 
     async def run(self) -> None:
         """Polls the list until cancelled."""
