claims: Add claims of idempotency keys with group commit

A non-idempotent request must not run twice, also when callers repeat it at another gateway, the store loses responses, or two gateways both take themselves for the owner of a shard.

A shard is a chain of segments in the object store. Only the last segment changes, by conditional updates, so its version stands for the state of the shard and a decision taken on a loaded state holds once its update took effect. While one update is on its way everything else waits for the next. After a write with unknown outcome the next write at the same version is always sent, so that the first cannot arrive later; claims that were refused meanwhile are released.

--- a/libs/claims/src/banyandale_claims/__init__.py
+++ b/libs/claims/src/banyandale_claims/__init__.py
@@ -1,1 +1,35 @@
 """Idempotency-key claims with group commit."""
+
+from banyandale_claims._decisions import Decision
+from banyandale_claims._decisions import Granted
+from banyandale_claims._decisions import Identity
+from banyandale_claims._decisions import InProgress
+from banyandale_claims._decisions import KeyReused
+from banyandale_claims._decisions import NotKept
+from banyandale_claims._decisions import Refused
+from banyandale_claims._decisions import Replay
+from banyandale_claims._decisions import StoredResponse
+from banyandale_claims._decisions import Unknown
+from banyandale_claims._errors import ClaimError
+from banyandale_claims._errors import ClaimsBusyError
+from banyandale_claims._errors import ClaimsUnavailableError
+from banyandale_claims._records import hash_request
+from banyandale_claims._store import ClaimStore
+
+__all__ = [
+    "ClaimError",
+    "ClaimStore",
+    "ClaimsBusyError",
+    "ClaimsUnavailableError",
+    "Decision",
+    "Granted",
+    "Identity",
+    "InProgress",
+    "KeyReused",
+    "NotKept",
+    "Refused",
+    "Replay",
+    "StoredResponse",
+    "Unknown",
+    "hash_request",
+]
--- /dev/null
+++ b/libs/claims/tests/test_store.py
@@ -0,0 +1,280 @@
+"""Tests of single claims, their outcomes and the writes they cost."""
+
+import itertools
+import random
+import time
+
+import curio
+import pytest
+
+import banyandale_claims as claims
+from banyandale_claims import _log as log
+from banyandale_claims import _store as store_module
+import banyandale_core as core
+import banyandale_platform as platform
+from banyandale_platform import testing
+
+numbers = itertools.count()
+
+
+def make_identity(boot="b1"):
+    return claims.Identity(
+        gateway_id="g1", boot=boot, request_id=str(next(numbers))
+    )
+
+
+class ShiftedClock(core.SystemClock):
+    """The system clock with an offset."""
+
+    def __init__(self):
+        self.offset = 0.0
+
+    def unix(self):
+        return super().unix() + self.offset
+
+
+def make_store(store, *, writer="g1/b1", active=("b1",), **options):
+    options = {"clock": core.SystemClock(), **options}
+    made = claims.ClaimStore(
+        store=store,
+        writer=writer,
+        is_active=lambda gateway, boot: boot in active,
+        metrics=core.MemoryMetrics(),
+        rng=random.Random(1),
+        **options,
+    )
+    made.metrics = made._metrics
+    return made
+
+
+async def begin(store, key="k", *, identity=None, body_hash="h", seconds=5):
+    return await store.begin(
+        service="s",
+        key=key,
+        body_hash=body_hash,
+        identity=identity or make_identity(),
+        deadline=time.monotonic() + seconds,
+    )
+
+
+async def finish(store, identity, response, key="k"):
+    await store.finish(
+        service="s", key=key, identity=identity, response=response
+    )
+
+
+RESPONSE = claims.StoredResponse(
+    status=201, headers=((b"x-a", b"\xe9"),), body=b"\x00done"
+)
+
+
+def test_outcomes_reach_every_owner():
+    """Guards against a repetition that runs because another owner asks."""
+
+    async def main():
+        shared = testing.MemoryStore()
+        first, second = make_store(shared), make_store(shared, writer="g2/b1")
+        identity = make_identity()
+        assert await begin(first, identity=identity) == claims.Granted()
+        assert await begin(first) == claims.InProgress()
+        assert await begin(second) == claims.InProgress()
+        assert await begin(second, body_hash="i") == claims.KeyReused()
+        # The outcome is given to the other owner.
+        await finish(second, identity, RESPONSE)
+        replay = claims.Replay(response=RESPONSE)
+        assert await begin(second) == replay
+        assert await begin(first) == replay
+        assert await begin(first, body_hash="i") == claims.KeyReused()
+        # A release after the outcome has no effect.
+        await first.abandon(service="s", key="k", identity=identity)
+        await curio.sleep(2 * store_module.OUTCOME_LINGER_SECONDS)
+        assert await begin(first) == replay
+        for store in (first, second):
+            assert not store.metrics.counters["claims_unavailable"]
+
+    curio.run(main)
+
+
+def test_abandoned_key_is_granted_again():
+    """Guards against a request that is refused though it never ran."""
+
+    async def main():
+        store = make_store(testing.MemoryStore())
+        identity = make_identity()
+        await begin(store, identity=identity)
+        await store.abandon(service="s", key="k", identity=identity)
+        assert await begin(store) == claims.Granted()
+
+    curio.run(main)
+
+
+def test_large_response_is_remembered_by_status():
+    """Guards against objects that outgrow the store."""
+
+    async def main():
+        store = make_store(testing.MemoryStore())
+        identity = make_identity()
+        await begin(store, identity=identity)
+        large = claims.StoredResponse(status=200, body=b"x" * 16_385)
+        await finish(store, identity, large)
+        decision = await begin(store)
+        assert decision == claims.NotKept(status=200)
+        assert (decision.code, decision.http_status) == (
+            "outcome_not_kept",
+            409,
+        )
+
+    curio.run(main)
+
+
+@pytest.mark.parametrize("how", ["boot", "deadline"])
+def test_lost_outcome_is_unknown(how):
+    """Guards against running a request again whose gateway vanished."""
+
+    async def main():
+        shared = testing.MemoryStore()
+        clock = ShiftedClock()
+        await begin(make_store(shared, clock=clock))
+        active = ("b2",) if how == "boot" else ("b1",)
+        clock.offset = 0 if how == "boot" else 11
+        second = make_store(shared, writer="g2", active=active, clock=clock)
+        assert await begin(second) == claims.Unknown()
+
+    curio.run(main)
+
+
+def test_outage_refuses_without_asking_the_store_each_time():
+    """Guards against callers that wait for a store that is down."""
+
+    async def main():
+        shared = testing.MemoryStore()
+        store = make_store(shared)
+        await begin(store, "before")
+        shared.faults.down = True
+        before = shared.counts.total()
+        for _ in range(50):
+            with pytest.raises(claims.ClaimsUnavailableError) as caught:
+                await begin(store)
+            assert caught.value.run is core.RunMark.NOT_RUN
+        assert shared.counts.total() - before < 50
+        shared.faults.down = False
+        await curio.sleep(store_module.BACKOFF_LIMIT_SECONDS)
+        assert await begin(store) == claims.Granted()
+
+    curio.run(main)
+
+
+def test_claim_that_comes_too_late_is_released(monkeypatch):
+    """Guards against a key that stays claimed by a refused request."""
+    monkeypatch.setattr(store_module, "CLAIM_SECONDS", 0.05)
+
+    async def main():
+        shared = testing.MemoryStore()
+        store = make_store(shared)
+        await begin(store, "before")
+        shared.faults.slow_seconds = 0.2
+        with pytest.raises(claims.ClaimsUnavailableError):
+            await begin(store)
+        await curio.sleep(0.01)
+        # The same write is still on its way; nobody waits for it again.
+        with pytest.raises(claims.ClaimsUnavailableError) as caught:
+            await begin(store)
+        assert "does not respond" in str(caught.value)
+        shared.faults.slow_seconds = 0
+        await curio.sleep(0.3)
+        assert await begin(store) == claims.Granted()
+
+    curio.run(main)
+
+
+def test_claim_whose_response_was_lost_is_granted():
+    """Guards against refusing a claim that is stored."""
+
+    async def main():
+        shared = testing.MemoryStore()
+        store = make_store(shared)
+        await begin(store, "before")
+        shared.faults.lose_write_responses = 1
+        assert await begin(store) == claims.Granted()
+
+    curio.run(main)
+
+
+def test_claims_that_wait_are_written_together():
+    """Guards against one write per claim under load."""
+
+    async def main():
+        shared = testing.MemoryStore()
+        store = make_store(shared, shards=1)
+        await begin(store, "before")
+        shared.faults.slow_seconds = 0.01
+        before = shared.counts["update.claim"]
+        tasks = [
+            await curio.spawn(begin, store, f"k{number}")
+            for number in range(50)
+        ]
+        for task in tasks:
+            assert await task.join() == claims.Granted()
+        assert shared.counts["update.claim"] - before <= 2
+
+    curio.run(main)
+
+
+def make_log(shared, clock, writer):
+    return log.ShardLog(
+        store=shared,
+        writer=platform.Writer(
+            store=shared, writer=writer, metrics=core.MemoryMetrics()
+        ),
+        name="s.00",
+        clock=clock,
+        segment_bytes=1,
+    )
+
+
+def test_paused_gateway_finds_the_chain_after_its_segments_are_deleted():
+    """Guards against a second chain beside the one of the other gateways."""
+
+    async def main():
+        shared = testing.MemoryStore()
+        clock = ShiftedClock()
+        paused, other = (make_log(shared, clock, name) for name in "ab")
+        await paused.load()
+        for _ in range(3):  # Each write seals its segment.
+            await other.load()
+            await other.append({})
+        clock.offset = log.RETENTION_SECONDS + log.DELETE_MARGIN_SECONDS + 1
+        await other.load()
+        assert await other.clean() == 3
+        await paused.load()
+        assert paused.version == other.version
+        names = [
+            item.name for item in (await shared.list(kind="claim")).objects
+        ]
+        assert names == ["s.00", "s.00.3"]
+
+    curio.run(main)
+
+
+def test_records_are_kept_for_their_retention():
+    """Guards against segments that are deleted early, or never."""
+
+    async def main():
+        shared = testing.MemoryStore()
+        clock = ShiftedClock()
+        store = make_store(
+            shared, clock=clock, active=(), shards=1, segment_bytes=1
+        )
+        await begin(store, "k1")
+        await begin(store, "k2")
+        (shard,) = store._shards.values()
+        clock.offset = log.RETENTION_SECONDS - 10
+        assert await shard._log.clean() == 0
+        assert await begin(store, "k1") == claims.Unknown()
+        clock.offset = log.RETENTION_SECONDS + 10
+        assert await begin(store, "k1") == claims.Granted()
+        clock.offset += log.RETENTION_SECONDS + 100
+        await begin(store, "k3")
+        assert await shard._log.clean() >= 2
+
+    curio.run(main)
