Add the console of HTML forms

Cause: operators who never ran the system before need forms whose only output is the checked document.

Change: forms for zones, services and backend servers, made from the models. A problem is shown beside its field, the difference is shown before it takes effect, and a form made from an older generation is refused. Sessions, hidden keys and edits are derived from the token or travel in the form, so the console keeps no state. History with restore, and the generation of each gateway.

--- a/libs/config/src/banyandale_config/__init__.py
+++ b/libs/config/src/banyandale_config/__init__.py
@@ -21,6 +21,7 @@
 from banyandale_config._models import ServiceModel
 from banyandale_config._models import ZoneModel
 from banyandale_config._problems import format_path
+from banyandale_config._problems import Path
 from banyandale_config._problems import Problem
 from banyandale_config._problems import Severity
 from banyandale_config._publisher import HistoryEntry
@@ -49,6 +50,7 @@
     "GenerationNotFoundError",
     "HistoryEntry",
     "InvalidDocumentError",
+    "Path",
     "Peer",
     "Problem",
     "Published",
--- a/libs/console/src/banyandale_console/__init__.py
+++ b/libs/console/src/banyandale_console/__init__.py
@@ -1,1 +1,6 @@
-"""HTML forms that edit the configuration document."""
+"""Console of HTML forms whose only output is the configuration document."""
+
+from banyandale_console._console import Console
+from banyandale_console._server import serve
+
+__all__ = ["Console", "serve"]
