gateway: run keyed requests at most once through claims

Cause: callers that retry at another gateway could run a charge twice. Change: KeyedRouter claims the key before routing and reports the outcome after it; ClaimService asks the owner of the key's shard over the control link.

--- a/libs/gateway/src/banyandale_gateway/_errors.py
+++ b/libs/gateway/src/banyandale_gateway/_errors.py
@@ -1,5 +1,6 @@
 """Errors that end a call, and the HTTP status that each becomes."""
 
+import banyandale_claims as claims
 import banyandale_core as core
 
 
@@ -116,6 +117,39 @@
         self.code = error.code
 
 
+class InvalidKeyError(CallError):
+    """The `Idempotency-Key` header is empty or too long."""
+
+    code = "invalid_idempotency_key"
+    status = 400
+
+
+class ClaimFailedError(CallError):
+    """The key could not be claimed, so the request was not sent.
+
+    Attributes:
+        code: Code of the claim's error.
+    """
+
+    def __init__(self, error: claims.ClaimError) -> None:
+        super().__init__(str(error))
+        self.code = error.code
+
+
+class ClaimRefusedError(CallError):
+    """A request with the same key has run, may have run or is running.
+
+    Attributes:
+        code: Code of the decision.
+        status: HTTP status of the decision.
+    """
+
+    def __init__(self, decision: claims.Refused) -> None:
+        super().__init__(f"idempotency key: {decision.code}", run=decision.run)
+        self.code = decision.code
+        self.status = decision.http_status
+
+
 class AttemptError(CallError):
     """An attempt at a backend server failed."""
 
--- a/libs/gateway/src/banyandale_gateway/_gateway.py
+++ b/libs/gateway/src/banyandale_gateway/_gateway.py
@@ -9,15 +9,18 @@
 from absl import logging
 import curio
 
+import banyandale_claims as claims
 import banyandale_config as config
 import banyandale_core as core
 import banyandale_dispatch as dispatch
 from banyandale_gateway import _backends as backends
 from banyandale_gateway import _budgets as budgets
 from banyandale_gateway import _callers as callers
+from banyandale_gateway import _claims as claim_service
 from banyandale_gateway import _config_peers as config_peers
 from banyandale_gateway import _handler as handler
 from banyandale_gateway import _homes as homes
+from banyandale_gateway import _keyed as keyed
 from banyandale_gateway import _local as local
 from banyandale_gateway import _lookup as lookup
 from banyandale_gateway import _membership as membership
@@ -69,6 +72,7 @@
         self._boot = uuid.uuid4().hex
         self._wanted: lease.Wanted | None = None
         self._build_control(store, vm_list)
+        self._build_claims(store)
         self._build_data_path()
 
     def _build_control(
@@ -122,6 +126,31 @@
             on_lost=self._on_home,
         )
 
+    def _build_claims(self, store: platform.ObjectStore) -> None:
+        self._claims = claim_service.ClaimService(
+            gateway_id=self._own.gateway_id,
+            store=claims.ClaimStore(
+                store=store,
+                writer=f"{self._own.gateway_id}/{self._boot}/claims",
+                is_active=self._is_active,
+                metrics=self._metrics,
+                clock=self._clock,
+                rng=random.Random(),
+            ),
+            node=self._node,
+            gateways=self._ownership.gateways,
+            metrics=self._metrics,
+        )
+
+    def _is_active(self, gateway_id: str, boot: str) -> bool:
+        """Whether a gateway may still report the outcome of its claims."""
+        if gateway_id == self._own.gateway_id:
+            return boot == self._keeper.boot
+        return any(
+            info.gateway == gateway_id and info.boot == boot
+            for info in self._ownership.gateways()
+        )
+
     def _build_data_path(self) -> None:
         own = self._own
         if own.routing is settings.Routing.HOME:
@@ -165,7 +194,12 @@
             address=own.listen,
             calls_handler=handler.Handler(
                 configuration=self._follower,
-                router=self._router,
+                router=keyed.KeyedRouter(
+                    router=self._router,
+                    key_claims=self._claims,
+                    gateway_id=own.gateway_id,
+                    boot=lambda: self._keeper.boot,
+                ),
                 limits=self._limits,
                 clock=self._clock,
                 metrics=self._metrics,
