--- /dev/null
+++ b/libs/lease/src/banyandale_lease/_records.py
@@ -0,0 +1,131 @@
+"""Contents of the object kinds `lease` and `home`."""
+
+import dataclasses
+import enum
+
+import pydantic
+
+import banyandale_platform as platform
+
+LEASE_KIND = "lease"
+HOME_KIND = "home"
+
+# (service, zone)
+HomeKey = tuple[str, str]
+
+
+class LeaseState(enum.Enum):
+    """State of a gateway's lease."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    REVOKED = "revoked"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeaseRecord:
+    """Value of a `lease` object, beside `writer` and `attempt`.
+
+    Attributes:
+        boot: Identity of one registration of a gateway.
+        zone: Availability zone of the gateway.
+        http: Address for callers as `ip:port`.
+        peer: Address for other gateways as `ip:port`.
+        state: Whether the gateway may hold homes.
+        weight: Share of homes relative to other gateways.
+    """
+
+    boot: str
+    zone: str
+    http: str
+    peer: str
+    state: LeaseState
+    weight: float = 1.0
+
+    def to_fields(self) -> dict[str, object]:
+        """Returns the record as JSON fields."""
+        return {
+            "boot": self.boot,
+            "zone": self.zone,
+            "http": self.http,
+            "peer": self.peer,
+            "state": self.state.value,
+            "weight": self.weight,
+        }
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HomeRecord:
+    """Value of a `home` object, beside `writer` and `attempt`.
+
+    Attributes:
+        gateway: Holder.
+        boot: Registration of the holder to which the home belongs.
+        epoch: Number of changes of the holder.
+    """
+
+    gateway: str
+    boot: str
+    epoch: int
+
+    def to_fields(self) -> dict[str, object]:
+        """Returns the record as JSON fields."""
+        return {
+            "gateway": self.gateway,
+            "boot": self.boot,
+            "epoch": self.epoch,
+        }
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class GatewayInfo:
+    """A gateway with a lease.
+
+    Attributes:
+        gateway: Gateway id.
+        boot: Identity of its registration.
+        zone: Availability zone.
+        http: Address for callers as `ip:port`.
+        peer: Address for other gateways as `ip:port`.
+        leaving: Whether it is shutting down.
+        weight: Share of homes relative to other gateways.
+    """
+
+    gateway: str
+    boot: str
+    zone: str
+    http: str
+    peer: str
+    leaving: bool
+    weight: float
+
+
+_LEASE = pydantic.TypeAdapter(LeaseRecord)
+_HOME = pydantic.TypeAdapter(HomeRecord)
+
+
+def parse_lease(stored: platform.StoredObject) -> LeaseRecord | None:
+    """Reads a lease; None when the value is not one."""
+    try:
+        return _LEASE.validate_json(stored.value)
+    except pydantic.ValidationError:
+        return None
+
+
+def parse_home(stored: platform.StoredObject) -> HomeRecord | None:
+    """Reads a home; None when the value is not one."""
+    try:
+        return _HOME.validate_json(stored.value)
+    except pydantic.ValidationError:
+        return None
+
+
+def home_name(key: HomeKey) -> str:
+    """Returns the object name of a home."""
+    return f"{key[0]}.{key[1]}"
+
+
+def parse_home_name(name: str) -> HomeKey:
+    """Splits the name of a home; service names contain no dot."""
+    service, _, zone = name.partition(".")
+    return service, zone
