gateway: keep keyed calls running without their caller

Cause: curio 1.6 has no report_crash; every keyed call ended in an internal error that closed the caller's connection without a response. Change: the task of a keyed call returns its error; an unexpected error becomes a 500 response marked unknown; curio's timeout warnings are not logged.

--- a/libs/app/src/banyandale/_gateway_command.py
+++ b/libs/app/src/banyandale/_gateway_command.py
@@ -1,5 +1,6 @@
 """The command `banyandale gateway`."""
 
+import logging as standard_logging
 import os
 
 from absl import logging
@@ -63,4 +64,6 @@
                 self.line_error(f"error: {problem}")
             return EXIT_USAGE
         logging.set_verbosity(logging.INFO)
+        # Curio warns of each timeout that was met a little late.
+        standard_logging.getLogger("curio").setLevel(standard_logging.ERROR)
         return curio.run(gateway.run_gateway, to_gateway_settings(loaded))
--- a/libs/gateway/src/banyandale_gateway/_callers.py
+++ b/libs/gateway/src/banyandale_gateway/_callers.py
@@ -187,6 +187,16 @@
                 build_refusal(error.status, error.code, error.run, str(error))
             )
             return
+        except (http.CallerGoneError, curio.CancelledError):
+            raise
+        except Exception:
+            code = core.CodedError.code
+            self._metrics.incr(f"refused.{code}")
+            logging.exception("call failed")
+            await connection.send_response(
+                build_refusal(500, code, core.RunMark.UNKNOWN, "see the log")
+            )
+            return
         if answer.rest is None:
             await connection.send_response(
                 http.Response(
--- a/libs/gateway/src/banyandale_gateway/_keyed.py
+++ b/libs/gateway/src/banyandale_gateway/_keyed.py
@@ -93,13 +93,11 @@
             raise errors.ClaimRefusedError(decision)
         # A caller that goes away often repeats the request with the same key.
         # The call goes on without it, so that its response can be replayed.
-        task = await curio.spawn(
-            self._run, call, key, identity, daemon=True, report_crash=False
-        )
-        try:
-            return await task.join()
-        except curio.TaskError as error:
-            raise error.__cause__ from None
+        task = await curio.spawn(self._run, call, key, identity, daemon=True)
+        result = await task.join()
+        if isinstance(result, errors.CallError):
+            raise result
+        return result
 
     async def _decide(
         self, call: calls.Call, key: str
@@ -143,27 +141,36 @@
 
     async def _run(
         self, call: calls.Call, key: str, identity: claims.Identity
-    ) -> calls.Answer:
-        response = None
-        ran = True
+    ) -> calls.Answer | errors.CallError:
+        """Runs a claimed call; returns the error, as nobody may be waiting.
+
+        Without a response, and not known not to have run, the claim stays
+        pending: the outcome is unknown.
+        """
         try:
             answer = await self._router.route(call)
-            response = claims.StoredResponse(
-                status=answer.head.status,
-                headers=answer.head.headers,
-                body=answer.body,
-            )
-            return answer
         except errors.CallError as error:
-            ran = error.run is core.RunMark.UNKNOWN
-            raise
-        finally:
-            # Without a response, and not known not to have run, the claim
-            # stays pending: the outcome is unknown.
-            if response is not None or not ran:
-                await curio.spawn(
-                    self._settle, call, key, identity, response, daemon=True
-                )
+            if error.run is core.RunMark.NOT_RUN:
+                await self._spawn_settle(call, key, identity, None)
+            return error
+        response = claims.StoredResponse(
+            status=answer.head.status,
+            headers=answer.head.headers,
+            body=answer.body,
+        )
+        await self._spawn_settle(call, key, identity, response)
+        return answer
+
+    async def _spawn_settle(
+        self,
+        call: calls.Call,
+        key: str,
+        identity: claims.Identity,
+        response: claims.StoredResponse | None,
+    ) -> None:
+        await curio.spawn(
+            self._settle, call, key, identity, response, daemon=True
+        )
 
     async def _settle(
         self,
