--- a/libs/standins/src/banyandale_standins/_deployments.py
+++ b/libs/standins/src/banyandale_standins/_deployments.py
@@ -11,6 +11,7 @@
 from typing import Self
 
 from banyandale_standins import _backend as backend
+from banyandale_standins import _episodes as episodes
 from banyandale_standins import _load as load
 from banyandale_standins import _networks as networks
 from banyandale_standins import _relay as relay
@@ -76,6 +77,8 @@
         gateways: Gateways in the whole deployment.
         connections: Connections that each backend server accepts.
         services: Its services.
+        cold: How its servers behave after their start.
+        neighbours: How noisy neighbours slow its servers down.
         port: First port of the run.
     """
 
@@ -84,6 +87,12 @@
     gateways: int
     connections: int
     services: tuple[ServicePlan, ...]
+    cold: backend.ColdSettings = dataclasses.field(
+        default_factory=backend.ColdSettings
+    )
+    neighbours: episodes.EpisodeSettings = dataclasses.field(
+        default_factory=episodes.EpisodeSettings
+    )
     port: int = DEFAULT_PORT
 
     def slow_down(self, factor: float) -> Self:
@@ -102,6 +111,11 @@
         )
         return dataclasses.replace(self, services=services)
 
+    def start_warm(self) -> Self:
+        """Returns the deployment with servers that are never cold."""
+        cold = backend.ColdSettings(warm_requests=0)
+        return dataclasses.replace(self, cold=cold)
+
     def build_network(self) -> networks.Network:
         """Returns the prefixes of the zones and the delay between them."""
         prefixes = {zone: self._prefix(zone) for zone in self.zones}
@@ -208,6 +222,8 @@
             servers=tuple(
                 server for server in self.plan_servers() if server.zone == zone
             ),
+            cold=self.cold,
+            neighbours=self.neighbours,
             load_stale_ms=100.0,
         )
 
@@ -355,6 +371,24 @@
     ),
 )
 
+# One gateway in front of servers that never wait, to measure the gateway.
+OVERHEAD = Deployment(
+    name="overhead",
+    zones=("a",),
+    gateways=1,
+    connections=200,
+    services=(
+        ServicePlan(
+            name="echo",
+            servers=20,
+            priority=1,
+            profile=backend.ServiceProfile(mean_ms=2, sigma=0),
+        ),
+    ),
+    cold=backend.ColdSettings(warm_requests=0),
+    neighbours=episodes.EpisodeSettings(share=0),
+)
+
 DEPLOYMENTS = {
     deployment.name: deployment for deployment in (TRUST, CALOR_QUETZAL)
 }
