--- a/libs/standins/src/banyandale_standins/_system.py
+++ b/libs/standins/src/banyandale_standins/_system.py
@@ -294,7 +294,7 @@
             sum(phase.seconds for phase in settings.phases)
             for settings in loads.values()
         )
-        await curio.sleep(start_at + longest - time.time())
+        await curio.sleep(max(start_at + longest - time.time(), 0.0))
         return await self._collect_loads()
 
     async def finish_load(self) -> results.RunResult:
