--- a/libs/gateway/src/banyandale_gateway/_sender.py
+++ b/libs/gateway/src/banyandale_gateway/_sender.py
@@ -99,7 +99,7 @@
             ),
             attempt=self._call.attempt,
         )
-        if not self._dispatcher.is_current(self._assignment):
+        if not self._dispatcher.revalidate(self._assignment):
             raise errors.StaleAssignmentError(
                 f"{self.address} turned cold or started leaving"
             )
@@ -185,7 +185,7 @@
             size += len(chunk)
         return b"".join(chunks), False
 
-    async def read_chunk(self) -> bytes:
+    async def read(self) -> bytes:
         """Reads more of a long body; see `calls.BodyStream`."""
         deadline = time.monotonic() + STREAM_STALL_SECONDS
         try:
--- a/libs/http/src/banyandale_http/_server.py
+++ b/libs/http/src/banyandale_http/_server.py
@@ -21,7 +21,12 @@
 
 
 class ServerConnection:
-    """One connection of a caller: reads requests, sends responses."""
+    """One connection of a caller: reads requests, sends responses.
+
+    Attributes:
+        used_at: Monotonic seconds when it was opened, or last got a request
+            or finished a response.
+    """
 
     def __init__(self, *, sock: curio.io.Socket) -> None:
         sockets.set_options(sock)
@@ -30,6 +35,7 @@
             our_role=h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._closing = False
+        self.used_at = time.monotonic()
 
     async def read_request(
         self, *, limit: int, idle_deadline: float
@@ -63,6 +69,7 @@
 
     async def _read_request(self, limit: int) -> messages.Request | None:
         head = await self._next_event()
+        self.used_at = time.monotonic()
         if not isinstance(head, h11.Request):
             return None
         chunks = []
@@ -109,10 +116,12 @@
     async def send_response(self, response: messages.Response) -> None:
         """Sends a complete response.
 
+        Its headers must not describe the connection or the body's length.
+
         Raises:
             CallerGoneError: The connection failed.
         """
-        headers = list(messages.strip_connection_headers(response.headers))
+        headers = list(response.headers)
         if response.status not in messages.BODILESS_STATUSES:
             length = str(len(response.body)).encode()
             headers.append((b"content-length", length))
@@ -125,13 +134,15 @@
     async def start_response(self, head: messages.ResponseHead) -> None:
         """Sends the head of a streamed response.
 
+        Its headers must not describe the connection or the body's length.
+
         The length is kept where it is known, since a caller that speaks
         HTTP/1.0 has no other way to notice a truncated body.
         """
         framing = (b"transfer-encoding", b"chunked")
         if head.length is not None:
             framing = (b"content-length", str(head.length).encode())
-        headers = [*messages.strip_connection_headers(head.headers), framing]
+        headers = [*head.headers, framing]
         await self._send_bytes(self._encode_head(head.status, headers))
 
     async def send_chunk(self, data: bytes) -> None:
@@ -155,8 +166,11 @@
 
     async def _send_bytes(self, data: bytes) -> None:
         try:
-            async with core.timeout_at(time.monotonic() + STALL_SECONDS):
-                await self._sock.sendall(data)
+            count = sockets.send_now(self._sock, data)
+            if count < len(data):
+                async with core.timeout_at(time.monotonic() + STALL_SECONDS):
+                    await self._sock.sendall(memoryview(data)[count:])
+            self.used_at = time.monotonic()
         except (OSError, curio.TaskTimeout) as error:
             raise errors.CallerGoneError(
                 str(error), run=core.RunMark.UNKNOWN
