Refuse to start a system on ports in use

A second run talked to the platform of a first one that still ran and failed with a conflict of configurations. The test was seen failing without the check.

--- a/libs/standins/src/banyandale_standins/_system.py
+++ b/libs/standins/src/banyandale_standins/_system.py
@@ -93,6 +93,7 @@
     async def start(self) -> None:
         """Starts everything and waits until the configuration is in force."""
         address = self.deployment.platform_address()
+        await _require_free(address)
         self.processes.start(
             "platform", (STANDINS, "platform", f"--address={address}")
         )
@@ -331,6 +332,15 @@
         return {**statuses, **self.processes.stop_all()}
 
 
+async def _require_free(address: str) -> None:
+    """Fails when another run uses the ports; its platform would answer."""
+    try:
+        listener = http.open_listener(address)
+    except OSError as error:
+        raise StartError(f"cannot listen on {address}: {error}") from error
+    await listener.close()
+
+
 def _add(total: dict[str, int], counters: dict[str, int]) -> None:
     for name, count in counters.items():
         total[name] = total.get(name, 0) + count
--- a/libs/standins/tests/test_main.py
+++ b/libs/standins/tests/test_main.py
@@ -1,10 +1,14 @@
 """Tests of the commands and of the tables that they print."""
 
+import dataclasses
 import json
 import pathlib
 
+import curio
 import pytest
 
+import banyandale_http as http
+from banyandale_standins import _deployments as deployments
 from banyandale_standins import _measure as measure
 from banyandale_standins import _processes as processes
 from banyandale_standins import _reports as reports
@@ -46,6 +50,25 @@
     assert all(text.startswith("1 ") for text in found)
 
 
+def test_second_run_on_the_same_ports_does_not_start(tmp_path):
+    """Guards against a run that talks to the platform of another one."""
+
+    async def main():
+        async with http.open_listener("127.0.0.1:0") as listener:
+            port = listener.getsockname()[1]
+            running = system.System(
+                deployment=dataclasses.replace(deployments.OVERHEAD, port=port),
+                gateways=1,
+                variant=system.Variant(),
+                folder=tmp_path,
+            )
+            with pytest.raises(system.StartError, match="in use"):
+                await running.start()
+            assert running.processes.names() == ()
+
+    curio.run(main)
+
+
 def make_phase(p99):
     summary = {
         "sent": 100,
