--- a/libs/standins/src/banyandale_standins/_commands.py
+++ b/libs/standins/src/banyandale_standins/_commands.py
@@ -34,6 +34,7 @@
     # Curio reports each operation that ends after its deadline, which under
     # load is most of the output.
     logging.getLogger("curio").setLevel(logging.ERROR)
+    timing.shorten_pauses()
     return curio.run(corofunc, *args, selector=timing.FineSelector())
 
 
@@ -133,7 +134,10 @@
 
 
 async def _run_load(config: load.LoadSettings) -> object:
-    return await load.run_load(config=config)
+    tool = load.LoadTool(config=config)
+    # The planned calls are many objects that live as long as the run.
+    timing.shorten_pauses()
+    return await tool.run()
 
 
 SYSTEM_OPTIONS = [
@@ -227,7 +231,7 @@
         result = report.result
         rows = reports.build_rows(result, report.costs)
         self.render_table(list(reports.HEADERS), rows)
-        headers = ["phase", "service", "calls", "ok", "p50", "p99", "p99.9"]
+        headers = list(reports.SERVICE_HEADERS)
         self.render_table(headers, reports.build_service_rows(result))
         if rows := reports.build_reason_rows(result):
             headers = ["phase", "service", "kind", "reason", "calls"]
@@ -270,6 +274,12 @@
         ),
         option("repeats", description="runs each", flag=False, default="3"),
         option("docs", description="folder", flag=False, default="docs"),
+        option(
+            "what",
+            description="policies, or overhead (latency added by a gateway)",
+            flag=False,
+            default="policies",
+        ),
     ]
 
     def handle(self) -> int:
@@ -283,9 +293,13 @@
             slow_down=float(self.option("slow-down")),
         )
         docs = pathlib.Path(self.option("docs"))
+        measurements = {
+            "policies": measure.measure_policies,
+            "overhead": measure.measure_overhead,
+        }
         stop_on_sigterm()
         try:
-            run(measure.measure, plan, docs, self.line)
+            run(measurements[self.option("what")], plan, docs, self.line)
         except core.CodedError as error:
             self.line_error(f"error: {error.code}: {error}")
             return EXIT_FAILED
