Fetch parts in parallel and check the base early

Cause: a first start and each reading by an operator fetched one part after the other, which grows with the number of services. The command line needs to know before it asks the operator whether a document is out of date.

--- a/libs/config/src/banyandale_config/__init__.py
+++ b/libs/config/src/banyandale_config/__init__.py
@@ -16,7 +16,9 @@
 from banyandale_config._errors import InvalidDocumentError
 from banyandale_config._follower import Follower
 from banyandale_config._follower import Peer
+from banyandale_config._models import check_address
 from banyandale_config._models import Document
+from banyandale_config._models import NAME_PATTERN
 from banyandale_config._models import ServerModel
 from banyandale_config._models import ServiceModel
 from banyandale_config._models import ZoneModel
@@ -39,6 +41,7 @@
 
 __all__ = [
     "KEPT_GENERATIONS",
+    "NAME_PATTERN",
     "Change",
     "ConfigConflictError",
     "ConfigError",
@@ -66,6 +69,7 @@
     "ZoneModel",
     "build_snapshot",
     "check",
+    "check_address",
     "compare",
     "dump_json",
     "dump_schema",
--- a/libs/config/src/banyandale_config/_follower.py
+++ b/libs/config/src/banyandale_config/_follower.py
@@ -16,6 +16,7 @@
 import curio
 
 from banyandale_config import _errors as errors
+from banyandale_config import _fetch as fetch
 from banyandale_config import _models as models
 from banyandale_config import _parts as parts
 from banyandale_config import _rollout as rollout
@@ -243,12 +244,7 @@
         model = parts.read_root(root)
         if model.generation <= self.generation:
             return
-        values = {}
-        for name in self._missing(model):
-            part = await self._store.get(kind=parts.PART_KIND, name=name)
-            if part is None:
-                raise errors.DamagedConfigError(f"part {name} is missing")
-            values[name] = part.value
+        values = await fetch.fetch_parts(self._store, self._missing(model))
         # A peer may have delivered a newer generation during the calls.
         if model.generation > self.generation:
             self._put_in_force(model, root, values)
--- a/libs/config/src/banyandale_config/_models.py
+++ b/libs/config/src/banyandale_config/_models.py
@@ -172,7 +172,7 @@
         default=None,
         gt=0,
         le=10_000_000,
-        description="Requests per second in each gateway; null is no limit.",
+        description="Requests per second over all gateways; null: no limit.",
     )
     probe_budget_per_s: float = pydantic.Field(
         default=10.0,
--- a/libs/config/src/banyandale_config/_publisher.py
+++ b/libs/config/src/banyandale_config/_publisher.py
@@ -26,6 +26,7 @@
 
 from banyandale_config import _changes as changes
 from banyandale_config import _errors as errors
+from banyandale_config import _fetch as fetch
 from banyandale_config import _models as models
 from banyandale_config import _parts as parts
 from banyandale_config import _rollout as rollout
@@ -160,6 +161,21 @@
             for generation in newest
         )
 
+    async def check_base(
+        self, document: models.Document, *, base_generation: int
+    ) -> Published | None:
+        """Returns the newest generation if a document was made from it.
+
+        It only says early what `apply` would say. Changes nothing.
+
+        Raises:
+            ConfigConflictError: The base is no longer the newest generation.
+        """
+        newest = await self.read()
+        if (newest.generation if newest else 0) != base_generation:
+            raise await self._build_conflict(document, base_generation)
+        return newest
+
     async def restore(
         self,
         generation: int,
@@ -270,7 +286,9 @@
             return await self._write(attempt, (found, root))
         if attempt.sent and await self._was_superseded(attempt):
             return attempt.base_generation + 1, None
-        raise await self._build_conflict(attempt)
+        raise await self._build_conflict(
+            attempt.document, attempt.base_generation
+        )
 
     async def _was_superseded(self, attempt: _Attempt) -> bool:
         # Whoever replaces a root writes its history object first, so an
@@ -420,11 +438,7 @@
         return None if found is None else (found, parts.read_root(found.value))
 
     async def _read_published(self, root: models.ConfigRoot) -> Published:
-        values = {}
-        for name in set(root.parts.values()):
-            part = await self._store.get(kind=parts.PART_KIND, name=name)
-            if part is not None:
-                values[name] = part.value
+        values = await fetch.fetch_parts(self._store, set(root.parts.values()))
         return Published(
             generation=root.generation,
             document=parts.join(root, values),
@@ -450,23 +464,23 @@
             return None
 
     async def _build_conflict(
-        self, attempt: _Attempt
+        self, document: models.Document, base_generation: int
     ) -> errors.ConfigConflictError:
         current = await self.read()
         if current is None:
             raise errors.DamagedConfigError("the platform has no root")
         base = None
-        if attempt.base_generation:
-            base = await self._find_generation(attempt.base_generation)
+        if base_generation:
+            base = await self._find_generation(base_generation)
         accepted: tuple[changes.Change, ...] = ()
-        if base is not None or attempt.base_generation == 0:
+        if base is not None or base_generation == 0:
             accepted = changes.compare(base and base.document, current.document)
         return errors.ConfigConflictError(
             generation=current.generation,
             author=current.author,
             message=current.message,
             accepted=accepted,
-            proposed=changes.compare(current.document, attempt.document),
+            proposed=changes.compare(current.document, document),
         )
 
     async def wait_in_force(
