Add the operators' commands and checked settings

Cause: operators need to check, compare and publish documents from a shell, and a gateway with a wrong setting has to say so before it starts.

Settings are one model per command; addresses that nobody else could use and misspelled BANYANDALE_* variables are reported together with the missing and wrong ones.

--- /dev/null
+++ b/libs/app/src/banyandale/_console_command.py
@@ -0,0 +1,51 @@
+"""The command `banyandale console`."""
+
+import signal
+
+from absl import logging
+import curio
+
+from banyandale import _commands as commands
+from banyandale import _exits as exits
+from banyandale import _settings as settings
+import banyandale_config as config
+import banyandale_console as console
+import banyandale_core as core
+import banyandale_http as http
+import banyandale_platform as platform
+
+
+async def run_console(loaded: settings.ConsoleSettings) -> None:
+    """Serves the console until SIGTERM or SIGINT."""
+    store = platform.HttpObjectStore(
+        address=loaded.platform, source=loaded.source
+    )
+    handler = console.Console(
+        publisher=config.Publisher(store=store),
+        store=store,
+        token=loaded.console_token.get_secret_value(),
+    )
+    listener = http.open_listener(loaded.console_listen)
+    server = await curio.spawn(console.serve, handler, listener)
+    logging.info("console listens on %s", loaded.console_listen)
+    await core.wait_for_signal(signal.SIGTERM, signal.SIGINT)
+    await server.cancel()
+
+
+class ConsoleCommand(commands.CheckedCommand):
+    """Serves the console."""
+
+    name = "console"
+    description = "Serve the forms for operators until SIGTERM"
+    settings_model = settings.ConsoleSettings
+    options = commands.build_options(settings.ConsoleSettings)
+
+    def execute_checked(self, loaded: settings.ConsoleSettings) -> int:
+        """Serves until SIGTERM."""
+        logging.set_verbosity(logging.INFO)
+        try:
+            curio.run(run_console, loaded)
+        except OSError as error:
+            self.report(f"error: {loaded.console_listen}: {error}")
+            return exits.ExitCode.FAILURE
+        return exits.ExitCode.OK
--- a/libs/app/src/banyandale/_gateway_command.py
+++ b/libs/app/src/banyandale/_gateway_command.py
@@ -1,29 +1,12 @@
 """The command `banyandale gateway`."""
 
-import os
-
 from absl import logging
-from cleo.commands import command
-from cleo.helpers import option
 import curio
 
+from banyandale import _commands as commands
 from banyandale import _settings as settings
 import banyandale_gateway as gateway
 
-EXIT_USAGE = 2
-
-
-def build_options(model: type) -> list:
-    """Returns one option per setting of a settings model."""
-    return [
-        option(
-            settings.flag_name(name),
-            description=f"{field.description} [{settings.variable_name(name)}]",
-            flag=False,
-        )
-        for name, field in model.model_fields.items()
-    ]
-
 
 def to_gateway_settings(loaded: settings.GatewaySettings) -> gateway.Settings:
     """Converts checked settings to the gateway's own type."""
@@ -44,23 +27,15 @@
     )
 
 
-class GatewayCommand(command.Command):
+class GatewayCommand(commands.CheckedCommand):
     """Runs a gateway until SIGTERM."""
 
     name = "gateway"
     description = "Run a gateway until SIGTERM"
-    options = build_options(settings.GatewaySettings)
+    settings_model = settings.GatewaySettings
+    options = commands.build_options(settings.GatewaySettings)
 
-    def handle(self) -> int:
-        """Checks the settings and serves."""
-        flags = {item.name: self.option(item.name) for item in self.options}
-        try:
-            loaded = settings.load_settings(
-                settings.GatewaySettings, flags=flags, environment=os.environ
-            )
-        except settings.SettingsError as error:
-            for problem in error.problems:
-                self.line_error(f"error: {problem}")
-            return EXIT_USAGE
+    def execute_checked(self, loaded: settings.GatewaySettings) -> int:
+        """Serves until SIGTERM."""
         logging.set_verbosity(logging.INFO)
         return curio.run(gateway.run_gateway, to_gateway_settings(loaded))
--- a/libs/app/src/banyandale/_settings.py
+++ b/libs/app/src/banyandale/_settings.py
@@ -1,29 +1,22 @@
 """Checked settings, read from flags and environment variables."""
 
+from collections.abc import Iterable
 from collections.abc import Mapping
-import re
+import difflib
+import getpass
+import ipaddress
 from typing import Annotated
 from typing import Literal
 from typing import TypeVar
 
 import pydantic
 
+import banyandale_config as config
 import banyandale_core as core
 
 ENVIRONMENT_PREFIX = "BANYANDALE_"
 MIN_SECRET_LENGTH = 16
 
-_ADDRESS = re.compile(r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")
-
-
-def _check_address(value: str) -> str:
-    if not _ADDRESS.match(value):
-        raise ValueError("must be of the form ip:port")
-    return value
-
-
-Address = Annotated[str, pydantic.AfterValidator(_check_address)]
-
 
 class SettingsError(core.CodedError):
     """Settings are missing or wrong.
@@ -39,17 +32,68 @@
         self.problems = problems
 
 
-class GatewaySettings(pydantic.BaseModel):
-    """Settings of `banyandale gateway`."""
+def _check_ip(text: str) -> str:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        raise ValueError(f"{text!r} is not an IP address") from None
+    return text
+
+
+def _check_addresses(text: str) -> str:
+    for address in filter(None, text.split(",")):
+        config.check_address(address)
+    return text
+
+
+def _find_user() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        # A VM may have no entry for the user.
+        return "unknown"
+
+
+Address = Annotated[str, pydantic.AfterValidator(config.check_address)]
+Addresses = Annotated[str, pydantic.AfterValidator(_check_addresses)]
+Ip = Annotated[str, pydantic.AfterValidator(_check_ip)]
+
+
+class Settings(pydantic.BaseModel):
+    """Base of the settings of all commands."""
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
+    platform: Address = pydantic.Field(
+        description="ip:port of the platform's object API"
+    )
+    source: Ip | None = pydantic.Field(
+        default=None, description="local IP number of outgoing connections"
+    )
+
+    @classmethod
+    def find_conflicts(
+        cls, values: Mapping[str, str]
+    ) -> Iterable[tuple[str, str]]:
+        """Returns fields that do not fit others, with what is wrong.
+
+        Args:
+            values: The texts of the settings that are given.
+        """
+        del values
+        return ()
+
+
+class GatewaySettings(Settings):
+    """Settings of `banyandale gateway`."""
+
     id: str = pydantic.Field(
         pattern=r"^[a-z0-9][a-z0-9-]{0,62}$",
         description="unique name of this gateway",
     )
     zone: str = pydantic.Field(
-        min_length=1, description="availability zone of this VM"
+        pattern=config.NAME_PATTERN,
+        description="availability zone of this VM",
     )
     listen: Address = pydantic.Field(description="ip:port for callers")
     advertise: Address | None = pydantic.Field(
@@ -62,17 +106,14 @@
         default=None,
         description="ip:port that other gateways use; default: peer-listen",
     )
-    source: str | None = pydantic.Field(
-        default=None, description="local IP number of outgoing connections"
-    )
-    platform: Address = pydantic.Field(
-        description="ip:port of the platform's object API"
-    )
     peer_secret: pydantic.SecretStr = pydantic.Field(
         min_length=MIN_SECRET_LENGTH,
-        description="shared secret of all gateways",
+        description=(
+            "shared secret of all gateways, at least"
+            f" {MIN_SECRET_LENGTH} characters"
+        ),
     )
-    peers: str = pydantic.Field(
+    peers: Addresses = pydantic.Field(
         default="",
         description="comma-separated ip:port of peers to start from",
     )
@@ -88,8 +129,57 @@
         default=None, description="ip:port of the statsd server"
     )
 
+    @classmethod
+    def find_conflicts(
+        cls, values: Mapping[str, str]
+    ) -> Iterable[tuple[str, str]]:
+        """Returns addresses that others could not use."""
+        if values.get("listen") and values["listen"] == values.get(
+            "peer_listen"
+        ):
+            yield "peer_listen", "must differ from listen"
+        for advertised, listen in (
+            ("advertise", "listen"),
+            ("peer_advertise", "peer_listen"),
+        ):
+            address = values.get(advertised) or values.get(listen, "")
+            if address.startswith(("0.0.0.0:", "[::]:")):
+                yield (
+                    advertised,
+                    f"must be set: others cannot connect to {address}",
+                )
+
+
+class OperatorSettings(Settings):
+    """Settings of the commands `config`, `zone` and `status`."""
+
+    author: str = pydantic.Field(
+        default_factory=_find_user,
+        min_length=1,
+        max_length=100,
+        description="who publishes a change; default: the user's name",
+    )
+
+
+class ConsoleSettings(Settings):
+    """Settings of `banyandale console`."""
+
+    console_listen: Address = pydantic.Field(
+        default="127.0.0.1:8090",
+        description="ip:port for operators' browsers",
+    )
+    console_token: pydantic.SecretStr = pydantic.Field(
+        min_length=MIN_SECRET_LENGTH,
+        description=(
+            "token that operators sign in with, at least"
+            f" {MIN_SECRET_LENGTH} characters"
+        ),
+    )
+
+
+ALL_MODELS = (GatewaySettings, OperatorSettings, ConsoleSettings)
 
-Model = TypeVar("Model", bound=pydantic.BaseModel)
+Model = TypeVar("Model", bound=Settings)
 
 
 def variable_name(field: str) -> str:
@@ -117,15 +207,44 @@
     for field in model.model_fields:
         value = flags.get(flag_name(field))
         if value is None:
-            value = environment.get(variable_name(field))
+            # Deployment tools set variables without a value to "".
+            value = environment.get(variable_name(field)) or None
         if value is not None:
             values[field] = value
+    problems = dict(model.find_conflicts(values))
+    loaded = None
     try:
-        return model.model_validate(values)
+        loaded = model.model_validate(values)
     except pydantic.ValidationError as error:
-        problems = tuple(
-            f"--{flag_name(str(item['loc'][0]))}"
-            f" ({variable_name(str(item['loc'][0]))}): {item['msg']}"
-            for item in error.errors()
+        problems.update(
+            (str(item["loc"][0]), _describe(item)) for item in error.errors()
         )
-        raise SettingsError(problems) from error
+    lines = [
+        f"--{flag_name(field)} ({variable_name(field)}): {problems[field]}"
+        for field in model.model_fields
+        if field in problems
+    ]
+    lines.extend(_find_unknown(environment))
+    if lines or loaded is None:
+        raise SettingsError(tuple(lines))
+    return loaded
+
+
+def _describe(item: Mapping[str, object]) -> str:
+    if item["type"] == "missing":
+        return "is required"
+    return str(item["msg"]).removeprefix("Value error, ")
+
+
+def _find_unknown(environment: Mapping[str, str]) -> Iterable[str]:
+    """Reports misspelled variables, which would have no effect."""
+    known = {
+        variable_name(field)
+        for model in ALL_MODELS
+        for field in model.model_fields
+    }
+    for name in sorted(environment):
+        if name.startswith(ENVIRONMENT_PREFIX) and name not in known:
+            similar = difflib.get_close_matches(name, known, n=1)
+            hint = f"; did you mean {similar[0]}?" if similar else ""
+            yield f"{name}: there is no such setting{hint}"
