--- a/libs/app/src/banyandale/_gateway_command.py
+++ b/libs/app/src/banyandale/_gateway_command.py
@@ -1,30 +1,14 @@
 """The command `banyandale gateway`."""
 
 import logging as standard_logging
-import os
 
 from absl import logging
-from cleo.commands import command
-from cleo.helpers import option
 import curio
 
+from banyandale import _commands as commands
 from banyandale import _settings as settings
 import banyandale_gateway as gateway
 
-EXIT_USAGE = 2
-
-
-def build_options(model: type) -> list:
-    """Returns one option per setting of a settings model."""
-    return [
-        option(
-            settings.flag_name(name),
-            description=f"{field.description} [{settings.variable_name(name)}]",
-            flag=False,
-        )
-        for name, field in model.model_fields.items()
-    ]
-
 
 def to_gateway_settings(loaded: settings.GatewaySettings) -> gateway.Settings:
     """Converts checked settings to the gateway's own type."""
@@ -45,24 +29,16 @@
     )
 
 
-class GatewayCommand(command.Command):
+class GatewayCommand(commands.CheckedCommand):
     """Runs a gateway until SIGTERM."""
 
     name = "gateway"
     description = "Run a gateway until SIGTERM"
-    options = build_options(settings.GatewaySettings)
+    settings_model = settings.GatewaySettings
+    options = commands.build_options(settings.GatewaySettings)
 
-    def handle(self) -> int:
-        """Checks the settings and serves."""
-        flags = {item.name: self.option(item.name) for item in self.options}
-        try:
-            loaded = settings.load_settings(
-                settings.GatewaySettings, flags=flags, environment=os.environ
-            )
-        except settings.SettingsError as error:
-            for problem in error.problems:
-                self.line_error(f"error: {problem}")
-            return EXIT_USAGE
+    def execute_checked(self, loaded: settings.GatewaySettings) -> int:
+        """Serves until SIGTERM."""
         logging.set_verbosity(logging.INFO)
         # Curio warns of each timeout that was met a little late.
         standard_logging.getLogger("curio").setLevel(standard_logging.ERROR)
