claims: Send claims to the owner of their shard

One owner per shard writes the claims of all gateways together. If it cannot be reached, the own store claims the key, since several owners are safe. After a lost reply the request is refused and the claim released, because the owner may have granted it.

--- a/libs/claims/src/banyandale_claims/__init__.py
+++ b/libs/claims/src/banyandale_claims/__init__.py
@@ -14,10 +14,17 @@
 from banyandale_claims._errors import ClaimsBusyError
 from banyandale_claims._errors import ClaimsUnavailableError
 from banyandale_claims._records import hash_request
+from banyandale_claims._router import Claim
+from banyandale_claims._router import ClaimRouter
+from banyandale_claims._router import MalformedClaimError
+from banyandale_claims._router import REQUEST_KIND
 from banyandale_claims._store import ClaimStore
 
 __all__ = [
+    "REQUEST_KIND",
+    "Claim",
     "ClaimError",
+    "ClaimRouter",
     "ClaimStore",
     "ClaimsBusyError",
     "ClaimsUnavailableError",
@@ -26,6 +33,7 @@
     "Identity",
     "InProgress",
     "KeyReused",
+    "MalformedClaimError",
     "NotKept",
     "Refused",
     "Replay",
--- a/libs/claims/src/banyandale_claims/_records.py
+++ b/libs/claims/src/banyandale_claims/_records.py
@@ -58,6 +58,15 @@
     return digest.hexdigest()
 
 
+def keep_response(
+    response: decisions.StoredResponse,
+) -> decisions.StoredResponse | None:
+    """Returns the response, or None when it is too large to be kept."""
+    if measure_response(response) > MAX_RESPONSE_BYTES:
+        return None
+    return response
+
+
 def measure_response(response: decisions.StoredResponse) -> int:
     """Returns the size of a response with its headers in bytes."""
     headers = sum(len(name) + len(value) for name, value in response.headers)
--- a/libs/claims/src/banyandale_claims/_store.py
+++ b/libs/claims/src/banyandale_claims/_store.py
@@ -78,6 +78,7 @@
     key: str
     identity: decisions.Identity
     state: records.State
+    status: int
     response: decisions.StoredResponse | None
     queued_at: float
     due_at: float
@@ -86,8 +87,7 @@
     def size(self) -> int:
         if self.response is None:
             return 0
-        size = records.measure_response(self.response)
-        return min(size, records.MAX_RESPONSE_BYTES)
+        return records.measure_response(self.response)
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -174,7 +174,6 @@
             key=claim.key,
             identity=claim.identity,
             state=records.State.ABANDONED,
-            retry_seconds=LATE_RECORD_SECONDS,
         )
 
     def add_outcome(
@@ -183,8 +182,8 @@
         key: str,
         identity: decisions.Identity,
         state: records.State,
+        status: int = 0,
         response: decisions.StoredResponse | None = None,
-        retry_seconds: float = 0.0,
     ) -> None:
         """Queues an outcome."""
         now = time.monotonic()
@@ -193,10 +192,11 @@
                 key=key,
                 identity=identity,
                 state=state,
+                status=status,
                 response=response,
                 queued_at=now,
                 due_at=now + OUTCOME_LINGER_SECONDS,
-                retry_until=now + retry_seconds,
+                retry_until=now + LATE_RECORD_SECONDS,
             )
         )
 
@@ -346,20 +346,10 @@
                 record,
                 state=outcome.state,
                 at_ms=self._now_ms(),
-                status=outcome.response.status if outcome.response else 0,
-                response=self._keep(outcome.response),
+                status=outcome.status,
+                response=outcome.response,
             )
 
-    def _keep(
-        self, response: decisions.StoredResponse | None
-    ) -> decisions.StoredResponse | None:
-        if response is None:
-            return None
-        if records.measure_response(response) > records.MAX_RESPONSE_BYTES:
-            self._metrics.incr("claims_response_not_kept")
-            return None
-        return response
-
     def _now_ms(self) -> int:
         return int(self._clock.unix() * core.MILLISECONDS_PER_SECOND)
 
@@ -514,34 +504,49 @@
         Returns before it is written. Until then this store replays it, but
         if this process is lost the outcome is unknown.
         """
-        await self._settle(service, key, identity, records.State.DONE, response)
-
-    async def abandon(
-        self, *, service: str, key: str, identity: decisions.Identity
-    ) -> None:
-        """Releases a key whose request has not run and will not run.
-
-        Also allowed when it is not known whether the key was granted.
-        """
-        await self._settle(
-            service, key, identity, records.State.ABANDONED, None
+        kept = records.keep_response(response)
+        if kept is None:
+            self._metrics.incr("claims_response_not_kept")
+        await self.finish_status(
+            service=service,
+            key=key,
+            identity=identity,
+            status=response.status,
+            response=kept,
         )
 
-    async def _settle(
+    async def finish_status(
         self,
+        *,
         service: str,
         key: str,
         identity: decisions.Identity,
-        state: records.State,
+        status: int,
         response: decisions.StoredResponse | None,
     ) -> None:
+        """As `finish`, with a response that may be left out."""
         shard = await self._open_shard(service, key)
         shard.add_outcome(
             key=records.hash_key(key),
             identity=identity,
-            state=state,
+            state=records.State.DONE,
+            status=status,
             response=response,
-            retry_seconds=LATE_RECORD_SECONDS,
+        )
+        await shard.wake()
+
+    async def abandon(
+        self, *, service: str, key: str, identity: decisions.Identity
+    ) -> None:
+        """Releases a key whose request has not run and will not run.
+
+        Also allowed when it is not known whether the key was granted.
+        """
+        shard = await self._open_shard(service, key)
+        shard.add_outcome(
+            key=records.hash_key(key),
+            identity=identity,
+            state=records.State.ABANDONED,
         )
         await shard.wake()
 
