gateway: use ClaimRouter of banyandale_claims

Cause: the library brought its own routing of claims to the shard owner. Change: the gateway's own version is removed; KeyedRouter uses claim objects. Conclusion: one implementation.

--- a/libs/gateway/src/banyandale_gateway/_gateway.py
+++ b/libs/gateway/src/banyandale_gateway/_gateway.py
@@ -16,7 +16,6 @@
 from banyandale_gateway import _backends as backends
 from banyandale_gateway import _budgets as budgets
 from banyandale_gateway import _callers as callers
-from banyandale_gateway import _claims as claim_service
 from banyandale_gateway import _config_peers as config_peers
 from banyandale_gateway import _handler as handler
 from banyandale_gateway import _homes as homes
@@ -127,8 +126,7 @@
         )
 
     def _build_claims(self, store: platform.ObjectStore) -> None:
-        self._claims = claim_service.ClaimService(
-            gateway_id=self._own.gateway_id,
+        self._claims = claims.ClaimRouter(
             store=claims.ClaimStore(
                 store=store,
                 writer=f"{self._own.gateway_id}/{self._boot}/claims",
@@ -137,10 +135,30 @@
                 clock=self._clock,
                 rng=random.Random(),
             ),
-            node=self._node,
-            gateways=self._ownership.gateways,
+            gateway_id=self._own.gateway_id,
+            boot=lambda: self._keeper.boot,
+            owner_of=self._find_claim_owner,
+            ask=self._node.request,
             metrics=self._metrics,
+            clock=self._clock,
         )
+        self._node.on_request(claims.REQUEST_KIND, self._serve_claim)
+
+    async def _serve_claim(self, request: peer.ControlRequest) -> bytes:
+        return await self._claims.answer(request.payload)
+
+    def _find_claim_owner(self, service: str, shard: int) -> str | None:
+        """Returns the gateway that writes the claims of a shard.
+
+        Gateways that disagree about it for a while both write, which the
+        conditional update of the shard makes safe.
+        """
+        weights = {
+            info.gateway: info.weight
+            for info in self._ownership.gateways()
+            if not info.leaving
+        }
+        return lease.choose(f"{service}.{shard}", weights)
 
     def _is_active(self, gateway_id: str, boot: str) -> bool:
         """Whether a gateway may still report the outcome of its claims."""
@@ -195,10 +213,7 @@
             calls_handler=handler.Handler(
                 configuration=self._follower,
                 router=keyed.KeyedRouter(
-                    router=self._router,
-                    key_claims=self._claims,
-                    gateway_id=own.gateway_id,
-                    boot=lambda: self._keeper.boot,
+                    router=self._router, claim_router=self._claims
                 ),
                 limits=self._limits,
                 clock=self._clock,
--- a/libs/gateway/src/banyandale_gateway/_keyed.py
+++ b/libs/gateway/src/banyandale_gateway/_keyed.py
@@ -1,6 +1,5 @@
 """Runs calls with an idempotency key at most once."""
 
-from collections.abc import Callable
 import time
 from typing import Protocol
 
@@ -18,31 +17,6 @@
 IN_PROGRESS_POLL_SECONDS = 0.1
 
 
-class KeyClaims(Protocol):
-    """Claims keys and keeps outcomes."""
-
-    async def begin(
-        self,
-        *,
-        service: str,
-        key: str,
-        body_hash: str,
-        identity: claims.Identity,
-        deadline: float,
-    ) -> claims.Decision:
-        """Claims a key."""
-
-    async def settle(
-        self,
-        *,
-        service: str,
-        key: str,
-        identity: claims.Identity,
-        response: claims.StoredResponse | None,
-    ) -> None:
-        """Reports an outcome."""
-
-
 class CallRouter(Protocol):
     """Runs calls."""
 
@@ -58,17 +32,10 @@
     """
 
     def __init__(
-        self,
-        *,
-        router: CallRouter,
-        key_claims: KeyClaims,
-        gateway_id: str,
-        boot: Callable[[], str],
+        self, *, router: CallRouter, claim_router: claims.ClaimRouter
     ) -> None:
         self._router = router
-        self._claims = key_claims
-        self._gateway_id = gateway_id
-        self._boot = boot
+        self._claims = claim_router
 
     async def route(self, call: calls.Call) -> calls.Answer:
         """Runs a call.
@@ -86,61 +53,46 @@
         return await self._route_keyed(call, key.decode("latin-1"))
 
     async def _route_keyed(self, call: calls.Call, key: str) -> calls.Answer:
-        decision, identity = await self._decide(call, key)
+        claim = await self._claim(call, key)
+        decision = claim.decision
         if isinstance(decision, claims.Replay):
             return _replay(decision.response)
         if isinstance(decision, claims.Refused):
             raise errors.ClaimRefusedError(decision)
         # A caller that goes away often repeats the request with the same key.
         # The call goes on without it, so that its response can be replayed.
-        task = await curio.spawn(self._run, call, key, identity, daemon=True)
+        task = await curio.spawn(self._run, call, claim, daemon=True)
         result = await task.join()
         if isinstance(result, errors.CallError):
             raise result
         return result
 
-    async def _decide(
-        self, call: calls.Call, key: str
-    ) -> tuple[claims.Decision, claims.Identity]:
+    async def _claim(self, call: calls.Call, key: str) -> claims.Claim:
         """Claims the key; waits while another request with it is running."""
-        repetition = 0
+        request = call.request
+        body_hash = claims.hash_request(
+            method=request.method, target=request.target, body=request.body
+        )
         while True:
-            identity = claims.Identity(
-                gateway_id=self._gateway_id,
-                boot=self._boot(),
-                request_id=f"{call.id}.{repetition}",
-            )
-            decision = await self._begin(call, key, identity)
+            try:
+                claim = await self._claims.begin(
+                    service=call.service.name,
+                    key=key,
+                    body_hash=body_hash,
+                    deadline=call.deadline,
+                )
+            except claims.ClaimError as error:
+                raise errors.ClaimFailedError(error) from error
             wait_until = time.monotonic() + IN_PROGRESS_POLL_SECONDS
             if (
-                not isinstance(decision, claims.InProgress)
+                not isinstance(claim.decision, claims.InProgress)
                 or wait_until >= call.deadline
             ):
-                return decision, identity
+                return claim
             await curio.sleep(IN_PROGRESS_POLL_SECONDS)
-            repetition += 1
-
-    async def _begin(
-        self, call: calls.Call, key: str, identity: claims.Identity
-    ) -> claims.Decision:
-        request = call.request
-        try:
-            return await self._claims.begin(
-                service=call.service.name,
-                key=key,
-                body_hash=claims.hash_request(
-                    method=request.method,
-                    target=request.target,
-                    body=request.body,
-                ),
-                identity=identity,
-                deadline=call.deadline,
-            )
-        except claims.ClaimError as error:
-            raise errors.ClaimFailedError(error) from error
 
     async def _run(
-        self, call: calls.Call, key: str, identity: claims.Identity
+        self, call: calls.Call, claim: claims.Claim
     ) -> calls.Answer | errors.CallError:
         """Runs a claimed call; returns the error, as nobody may be waiting.
 
@@ -151,41 +103,16 @@
             answer = await self._router.route(call)
         except errors.CallError as error:
             if error.run is core.RunMark.NOT_RUN:
-                await self._spawn_settle(call, key, identity, None)
+                await curio.spawn(claim.abandon, daemon=True)
             return error
         response = claims.StoredResponse(
             status=answer.head.status,
             headers=answer.head.headers,
             body=answer.body,
         )
-        await self._spawn_settle(call, key, identity, response)
+        await curio.spawn(claim.finish, response, daemon=True)
         return answer
 
-    async def _spawn_settle(
-        self,
-        call: calls.Call,
-        key: str,
-        identity: claims.Identity,
-        response: claims.StoredResponse | None,
-    ) -> None:
-        await curio.spawn(
-            self._settle, call, key, identity, response, daemon=True
-        )
-
-    async def _settle(
-        self,
-        call: calls.Call,
-        key: str,
-        identity: claims.Identity,
-        response: claims.StoredResponse | None,
-    ) -> None:
-        await self._claims.settle(
-            service=call.service.name,
-            key=key,
-            identity=identity,
-            response=response,
-        )
-
 
 def _replay(response: claims.StoredResponse) -> calls.Answer:
     return calls.Answer(
