--- a/libs/standins/src/banyandale_standins/__init__.py
+++ b/libs/standins/src/banyandale_standins/__init__.py
@@ -1,5 +1,6 @@
 """Stand-ins for the outside of the system, load tool and demo."""
 
+from banyandale_standins._admin import call as call_admin
 from banyandale_standins._backend import BackendsSettings
 from banyandale_standins._backend import ColdSettings
 from banyandale_standins._backend import serve_backends
@@ -10,6 +11,8 @@
 from banyandale_standins._bodies import find_fault
 from banyandale_standins._deployments import Deployment
 from banyandale_standins._deployments import DEPLOYMENTS
+from banyandale_standins._deployments import GatewayPlan
+from banyandale_standins._deployments import ServicePlan
 from banyandale_standins._episodes import Episodes
 from banyandale_standins._episodes import EpisodeSettings
 from banyandale_standins._load import LoadSettings
@@ -25,6 +28,8 @@
 from banyandale_standins._results import merge
 from banyandale_standins._results import RunResult
 from banyandale_standins._results import ServiceResult
+from banyandale_standins._system import System
+from banyandale_standins._system import Variant
 from banyandale_standins._timing import FineSelector
 
 __all__ = [
@@ -36,6 +41,7 @@
     "EpisodeSettings",
     "Episodes",
     "FineSelector",
+    "GatewayPlan",
     "LinkChange",
     "LoadSettings",
     "Network",
@@ -45,9 +51,13 @@
     "RunResult",
     "ServerChange",
     "ServerSettings",
+    "ServicePlan",
     "ServiceProfile",
     "ServiceResult",
+    "System",
     "TrafficSettings",
+    "Variant",
+    "call_admin",
     "find_fault",
     "merge",
     "run_load",
--- a/libs/standins/src/banyandale_standins/_processes.py
+++ b/libs/standins/src/banyandale_standins/_processes.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 import os
 import pathlib
+import signal
 import subprocess
 import sys
 import time
@@ -73,6 +74,30 @@
         """Whether the process has not ended."""
         return self._running[name].poll() is None
 
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a running process."""
+        self._running[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Ends a process by SIGKILL, also one that is stopped."""
+        process = self._running.pop(name)
+        process.kill()
+        process.wait(KILL_SECONDS)
+
+    def wait(self, name: str, *, deadline: float) -> int:
+        """Waits until a process has ended by itself; returns its status.
+
+        Args:
+            name: The process.
+            deadline: Monotonic seconds.
+
+        Raises:
+            subprocess.TimeoutExpired: It is still running.
+        """
+        status = self._running[name].wait(deadline - time.monotonic())
+        del self._running[name]
+        return status
+
     def read_log(self, name: str) -> str:
         """Returns the end of a process's output."""
         data = self._log_path(name).read_bytes()
--- a/libs/standins/src/banyandale_standins/_system.py
+++ b/libs/standins/src/banyandale_standins/_system.py
@@ -104,7 +104,7 @@
         self._start_standin("relay", "relay", settings)
         await self._wait_for("platform", self._list_vms)
         for gateway in self.gateways:
-            self._start_gateway(gateway)
+            self.start_gateway(gateway)
         self._publisher = config.Publisher(
             store=platform.HttpObjectStore(address=address)
         )
@@ -119,7 +119,7 @@
         path.write_text(settings.model_dump_json())
         self.processes.start(name, (STANDINS, command, str(path)))
 
-    def _start_gateway(self, gateway: deployments.GatewayPlan) -> None:
+    def start_gateway(self, gateway: deployments.GatewayPlan) -> None:
         values = {
             "ID": gateway.name,
             "ZONE": gateway.zone,
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,228 @@
+"""A small deployment as real processes, for tests of failures."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import itertools
+import json
+import os
+import pathlib
+import signal
+import time
+from typing import Any
+
+import curio
+
+import banyandale_http as http
+import banyandale_standins as standins
+
+# Each test process uses its own ports, and each cluster of it the next ones.
+PORTS_PER_CLUSTER = 10
+FIRST_PORT = 22000 + os.getpid() % 2000 * PORTS_PER_CLUSTER
+_ports = itertools.count(FIRST_PORT, PORTS_PER_CLUSTER)
+
+CALL_SECONDS = 5.0
+POLL_SECONDS = 0.05
+MAX_BODY_BYTES = 4 << 20
+
+DEPLOYMENT = standins.Deployment(
+    name="test",
+    zones=("a", "b", "c"),
+    gateways=6,
+    connections=200,
+    services=(
+        standins.ServicePlan(
+            name="catalogue",
+            servers=6,
+            priority=1,
+            profile=standins.ServiceProfile(mean_ms=20),
+        ),
+        standins.ServicePlan(
+            name="ledger",
+            servers=3,
+            priority=0,
+            profile=standins.ServiceProfile(mean_ms=20),
+            method="POST",
+            keyed=True,
+        ),
+    ),
+    neighbours=standins.EpisodeSettings(share=0),
+)
+
+
+class Cluster:
+    """A running deployment.
+
+    Attributes:
+        system: Its processes and plan.
+    """
+
+    def __init__(self, system: standins.System) -> None:
+        self.system = system
+
+    def gateway(self, zone: str, number: int = 1) -> standins.GatewayPlan:
+        """Returns the plan of one gateway of a zone, the first is 1."""
+        name = f"gw-{zone}-{number}"
+        return next(item for item in self.system.gateways if item.name == name)
+
+    async def call(
+        self,
+        gateway: standins.GatewayPlan,
+        service: str,
+        *,
+        method: bytes = b"GET",
+        body: bytes = b"",
+        headers: http.Headers = (),
+        seconds: float = CALL_SECONDS,
+    ) -> http.Response:
+        """Sends one request to a gateway on a connection of its own."""
+        deadline = time.monotonic() + seconds
+        connection = await http.ClientConnection.open(
+            address=gateway.listen, deadline=deadline
+        )
+        try:
+            return await connection.exchange(
+                http.Request(
+                    method=method,
+                    target=b"/item",
+                    headers=((b"service", service.encode()), *headers),
+                    body=body,
+                ),
+                limit=MAX_BODY_BYTES,
+                deadline=deadline,
+            )
+        finally:
+            await connection.close()
+
+    async def look_up(
+        self, gateway: standins.GatewayPlan, service: str, zone: str
+    ) -> list[str]:
+        """Returns the addresses that a gateway gives to callers of a zone."""
+        target = f"/v1/addresses?service={service}&zone={zone}"
+        page = await standins.call_admin(gateway.listen, "GET", target)
+        return page["addresses"]
+
+    async def status(self, gateway: standins.GatewayPlan) -> dict[str, Any]:
+        """Returns the status page of a gateway."""
+        return await standins.call_admin(gateway.listen, "GET", "/v1/status")
+
+    async def find_home(
+        self, service: str, zone: str
+    ) -> standins.GatewayPlan | None:
+        """Returns the running gateway that holds a home under a lease."""
+        for gateway in self.system.gateways:
+            if gateway.name not in self.system.processes.names():
+                continue
+            try:
+                page = await self.status(gateway)
+            except http.HttpError:
+                continue
+            for home in page["homes"]:
+                if (home["service"], home["zone"]) == (service, zone) and (
+                    home["lease"]
+                ):
+                    return gateway
+        return None
+
+    async def wait_for(
+        self, check: Callable[[], Awaitable[Any]], *, seconds: float = 15.0
+    ) -> Any:
+        """Polls until `check` returns something true, and returns it."""
+        deadline = time.monotonic() + seconds
+        while True:
+            result = await check()
+            if result:
+                return result
+            if time.monotonic() > deadline:
+                raise AssertionError(f"{check} was not true in {seconds} s")
+            await curio.sleep(POLL_SECONDS)
+
+    async def change_server(self, address: str, **change: Any) -> None:
+        """Changes one backend server, see `standins.ServerChange`."""
+        server = next(
+            item
+            for item in self.system.deployment.plan_servers()
+            if item.address == address
+        )
+        await standins.call_admin(
+            self.system.deployment.backends_admin(server.zone),
+            "PUT",
+            f"/servers?address={address}",
+            change,
+        )
+
+    def servers(self, service: str, zone: str) -> list[str]:
+        """Returns the addresses of a service's servers in a zone."""
+        return [
+            item.address
+            for item in self.system.deployment.plan_servers()
+            if (item.service, item.zone) == (service, zone)
+        ]
+
+    async def server_counters(self) -> dict[str, dict[str, int]]:
+        """Returns the counters of each backend server by address."""
+        return {
+            server["address"]: server["counters"]
+            for zone in self.system.deployment.zones
+            for server in await self.system.read_servers(zone)
+        }
+
+    async def set_platform_faults(self, **faults: Any) -> None:
+        """Changes the faults of the platform stand-in."""
+        address = self.system.deployment.platform_address()
+        await standins.call_admin(address, "POST", "/faults", faults)
+
+    def pause(self, gateway: standins.GatewayPlan) -> None:
+        """Stops the process of a gateway until `resume`."""
+        self.system.processes.signal(gateway.name, signal.SIGSTOP)
+
+    def resume(self, gateway: standins.GatewayPlan) -> None:
+        """Continues a paused gateway."""
+        self.system.processes.signal(gateway.name, signal.SIGCONT)
+
+    def kill(self, gateway: standins.GatewayPlan) -> None:
+        """Ends a gateway by SIGKILL."""
+        self.system.processes.kill(gateway.name)
+
+
+def run(
+    folder: pathlib.Path,
+    scenario: Callable[[Cluster], Awaitable[None]],
+    *,
+    deployment: standins.Deployment = DEPLOYMENT,
+    gateways: int = 6,
+    variant: standins.Variant | None = None,
+) -> None:
+    """Starts a cluster, runs a scenario and stops everything."""
+    system = standins.System(
+        deployment=dataclasses.replace(deployment, port=next(_ports)),
+        gateways=gateways,
+        variant=variant or standins.Variant(),
+        folder=folder,
+    )
+
+    async def main() -> None:
+        await system.start()
+        await scenario(Cluster(system))
+
+    try:
+        curio.run(main)
+    finally:
+        for name in system.processes.names():
+            system.processes.signal(name, signal.SIGCONT)
+        system.stop()
+
+
+def read_reason(response: http.Response) -> tuple[str | None, str | None]:
+    """Returns run mark and reason code of a refusal."""
+    run_mark = response.header(b"banyandale-run")
+    reason = response.header(b"banyandale-reason")
+    return (
+        None if run_mark is None else run_mark.decode(),
+        None if reason is None else reason.decode(),
+    )
+
+
+def read_json(response: http.Response) -> Any:
+    """Returns the JSON body of a response."""
+    return json.loads(response.body)
