Count the console's errors and back off after an expired watch

Cause: a follower called the store without a pause when every watch expired at once, and the console's counters were not sent anywhere.

Change: an expired watch counts and waits like other failures; the console has the setting statsd.

Conclusion: no loop of the follower calls the store without a pause.

--- a/libs/app/src/banyandale/_console_command.py
+++ b/libs/app/src/banyandale/_console_command.py
@@ -14,22 +14,41 @@
 import banyandale_http as http
 import banyandale_platform as platform
 
+FLUSH_SECONDS = 1.0
+
+
+def _build_metrics(loaded: settings.ConsoleSettings) -> core.MemoryMetrics:
+    if loaded.statsd is None:
+        return core.MemoryMetrics()
+    host, port = http.parse_address(loaded.statsd)
+    return core.StatsdMetrics(host=host, port=port, prefix="banyandale.console")
+
+
+async def _flush(metrics: core.MemoryMetrics) -> None:
+    while isinstance(metrics, core.StatsdMetrics):
+        metrics.flush()
+        await curio.sleep(FLUSH_SECONDS)
+
 
 async def run_console(loaded: settings.ConsoleSettings) -> None:
     """Serves the console until SIGTERM or SIGINT."""
     store = platform.HttpObjectStore(
         address=loaded.platform, source=loaded.source
     )
+    metrics = _build_metrics(loaded)
     handler = console.Console(
-        publisher=config.Publisher(store=store),
+        publisher=config.Publisher(store=store, metrics=metrics),
         store=store,
+        metrics=metrics,
         token=loaded.console_token.get_secret_value(),
     )
     listener = http.open_listener(loaded.console_listen)
     server = await curio.spawn(console.serve, handler, listener)
+    flusher = await curio.spawn(_flush, metrics)
     logging.info("console listens on %s", loaded.console_listen)
     await core.wait_for_signal(signal.SIGTERM, signal.SIGINT)
     await server.cancel()
+    await flusher.cancel()
 
 
 class ConsoleCommand(commands.CheckedCommand):
--- a/libs/app/src/banyandale/_settings.py
+++ b/libs/app/src/banyandale/_settings.py
@@ -175,6 +175,9 @@
             f" {MIN_SECRET_LENGTH} characters"
         ),
     )
+    statsd: Address | None = pydantic.Field(
+        default=None, description="ip:port of the statsd server"
+    )
 
 
 ALL_MODELS = (GatewaySettings, OperatorSettings, ConsoleSettings)
--- a/libs/app/tests/test_operator_commands.py
+++ b/libs/app/tests/test_operator_commands.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import socket
 import sys
 
 import curio
@@ -221,6 +222,18 @@
     assert "error: " in text.err
 
 
+def test_address_in_use_is_a_failure(run, store):
+    """Guards against a console that ends with a traceback."""
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        code, text = run(
+            "console",
+            f"--console-listen=127.0.0.1:{taken.getsockname()[1]}",
+            "--console-token=0123456789abcdef",
+        )
+    assert code == 1
+    assert "in use" in text.err
+
+
 def test_missing_settings_are_reported_together(run, monkeypatch):
     """Guards against an operator who fixes one setting per start."""
     monkeypatch.delenv("BANYANDALE_PLATFORM", raising=False)
--- a/libs/config/src/banyandale_config/_follower.py
+++ b/libs/config/src/banyandale_config/_follower.py
@@ -205,14 +205,14 @@
                 await self._report()
                 since = await self._watch_store(since)
                 backoff.reset()
-            except platform.WatchExpiredError:
-                since = None
             except (
                 platform.PlatformError,
                 errors.DamagedConfigError,
             ) as error:
-                # `since` stays, so that the next watch returns a root again
-                # whose parts could not be fetched.
+                # Otherwise `since` stays, so that the next watch returns a
+                # root again whose parts could not be fetched.
+                if isinstance(error, platform.WatchExpiredError):
+                    since = None
                 self._metrics.incr(error.code)
                 await curio.sleep(backoff.next_delay())
 
--- a/libs/config/tests/test_follower.py
+++ b/libs/config/tests/test_follower.py
@@ -256,6 +256,27 @@
     curio.run(main)
 
 
+def test_expired_watch_starts_from_the_list():
+    """Guards against a follower that never catches up after a long outage."""
+
+    async def main():
+        store = testing.MemoryStore(kept_changes=3)
+        await apply(store, 0, a=1)
+        cut = CutStore(store)
+        metrics = core.MemoryMetrics()
+        follower, task = await start(cut, metrics=metrics)
+        await wait_for(lambda: follower.generation == 1)
+        cut.cut = True
+        for generation in range(1, 6):
+            await apply(store, generation, a=generation + 1)
+        cut.cut = False
+        await wait_for(lambda: follower.generation == 6)
+        await task.cancel()
+        assert metrics.counters["watch_expired"]
+
+    curio.run(main)
+
+
 def test_status_reaches_apply_in_spite_of_faults():
     """Guards against an `apply` that waits for a report that was lost."""
 
