--- a/libs/app/src/banyandale/_gateway_command.py
+++ b/libs/app/src/banyandale/_gateway_command.py
@@ -1,5 +1,7 @@
 """The command `banyandale gateway`."""
 
+import logging as standard_logging
+
 from absl import logging
 import curio
 
@@ -38,4 +40,6 @@
     def execute_checked(self, loaded: settings.GatewaySettings) -> int:
         """Serves until SIGTERM."""
         logging.set_verbosity(logging.INFO)
+        # Curio warns of each timeout that was met a little late.
+        standard_logging.getLogger("curio").setLevel(standard_logging.ERROR)
         return curio.run(gateway.run_gateway, to_gateway_settings(loaded))
