--- a/libs/standins/src/banyandale_standins/_system.py
+++ b/libs/standins/src/banyandale_standins/_system.py
@@ -172,14 +172,20 @@
 
     async def apply_zones(self, *, out: Sequence[str]) -> int:
         """Publishes the document with some zones out of service."""
-        document = config.Document.model_validate(
-            self.deployment.build_document(zones_out=out)
+        return await self.apply_document(
+            self.deployment.build_document(zones_out=out),
+            message=f"out of service: {', '.join(out) or 'none'}",
         )
+
+    async def apply_document(
+        self, document: Mapping[str, object], *, message: str
+    ) -> int:
+        """Publishes a document; returns its generation."""
         self._generation = await self._publisher.apply(
-            document,
+            config.Document.model_validate(document),
             base_generation=self._generation,
             author="demo",
-            message=f"out of service: {', '.join(out) or 'none'}",
+            message=message,
         )
         return self._generation
 
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Collection
 import dataclasses
 import itertools
 import json
@@ -24,6 +25,9 @@
 CALL_SECONDS = 5.0
 POLL_SECONDS = 0.05
 MAX_BODY_BYTES = 4 << 20
+# A moderate load, as a share of the capacity of all servers.
+LOAD_SHARE = 0.3
+LOAD_PHASE = "steady"
 
 DEPLOYMENT = standins.Deployment(
     name="test",
@@ -167,6 +171,52 @@
             for server in await self.system.read_servers(zone)
         }
 
+    async def server_states(self) -> dict[str, dict[str, Any]]:
+        """Returns state and counters of each backend server by address."""
+        return {
+            server["address"]: server
+            for zone in self.system.deployment.zones
+            for server in await self.system.read_servers(zone)
+        }
+
+    async def list_vms(self, *, leaving: Collection[str] = ()) -> None:
+        """Writes the VM list; `leaving` holds addresses of servers."""
+        vms = [
+            {"address": gateway.ip, "zone": gateway.zone, "leaving": False}
+            for gateway in self.system.gateways
+        ]
+        vms += [
+            {
+                "address": server.address.rpartition(":")[0],
+                "zone": server.zone,
+                "leaving": server.address in leaving,
+            }
+            for server in self.system.deployment.plan_servers()
+        ]
+        address = self.system.deployment.platform_address()
+        await standins.call_admin(address, "PUT", "/v1/vms", {"vms": vms})
+
+    def start_load(self, *, seconds: float, retries: int = 0) -> float:
+        """Starts a steady load from all zones; returns its Unix start."""
+        phases = (standins.PhaseSettings(name=LOAD_PHASE, seconds=seconds),)
+        deployment = self.system.deployment
+        return self.system.start_loads(
+            {
+                zone: deployment.build_load(
+                    zone,
+                    gateways=self.system.gateways,
+                    share=LOAD_SHARE,
+                    phases=phases,
+                ).model_copy(update={"retries": retries})
+                for zone in deployment.zones
+            }
+        )
+
+    async def finish_load(self) -> dict[str, standins.ServiceResult]:
+        """Waits for the end of the load; returns its results by service."""
+        result = await self.system.finish_load()
+        return result.services[LOAD_PHASE]
+
     async def set_platform_faults(self, **faults: Any) -> None:
         """Changes the faults of the platform stand-in."""
         address = self.system.deployment.platform_address()
@@ -208,9 +258,20 @@
     try:
         curio.run(main)
     finally:
+        # A planned stop takes seconds and has tests of its own.
         for name in system.processes.names():
-            system.processes.signal(name, signal.SIGCONT)
-        system.stop()
+            system.processes.kill(name)
+
+
+async def sleep_until(unix: float) -> None:
+    """Sleeps until a time in Unix seconds."""
+    await curio.sleep(max(unix - time.time(), 0.0))
+
+
+def check_served(result: standins.ServiceResult) -> None:
+    """Checks that every call of a load got its whole response."""
+    lost = dict(result.rejected + result.failed + result.wrong)
+    assert result.ok == result.sent, lost
 
 
 def read_reason(response: http.Response) -> tuple[str | None, str | None]:
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,67 @@
+"""Backend servers that leave, with real processes."""
+
+import time
+
+import pytest
+
+import cluster as clusters
+
+SERVICE = "catalogue"
+ZONE = "a"
+# From the first word of the leaving to the last new request.
+LEAVE_SECONDS = 3.0
+# How long the server is watched after that; another gateway takes a home
+# over within this time.
+WATCH_SECONDS = 3.5
+LOAD_SECONDS = 0.5 + LEAVE_SECONDS + WATCH_SECONDS
+
+
+async def announce(cluster, source, address):
+    """Lets one source say that a server leaves."""
+    if source == "header":
+        await cluster.change_server(address, leaving=True)
+    elif source == "vm_list":
+        await cluster.list_vms(leaving={address})
+    else:
+        document = cluster.system.deployment.build_document()
+        for service in document["services"]:
+            for server in service["servers"]:
+                if server["address"] == address:
+                    server["state"] = "leaving"
+        await cluster.system.apply_document(document, message="leaving")
+
+
+@pytest.mark.parametrize("kill", ["none", "home"])
+@pytest.mark.parametrize("source", ["header", "vm_list", "document"])
+def test_leaving_server_gets_no_new_work(tmp_path, source, kill):
+    """Guards against new work for a server that leaves.
+
+    A gateway that takes a home over knows nothing of what its servers told
+    the previous one.
+    """
+
+    async def scenario(cluster):
+        address, other = cluster.servers(SERVICE, ZONE)
+        home = await cluster.find_home(SERVICE, ZONE)
+        start = cluster.start_load(
+            seconds=LOAD_SECONDS, retries=2 if kill == "home" else 0
+        )
+        await clusters.sleep_until(start + 0.5)
+        states = await cluster.server_states()
+        assert states[address]["last_request_at"] > start
+
+        said_at = time.time()
+        await announce(cluster, source, address)
+        if kill == "home":
+            cluster.kill(home)
+        await clusters.sleep_until(said_at + LEAVE_SECONDS + WATCH_SECONDS)
+        states = await cluster.server_states()
+        last = states[address]["last_request_at"] - said_at
+        print(f"last request {last:.3f} s after {source} said leaving")
+        assert last <= LEAVE_SECONDS
+        # The zone still has a home.
+        assert states[other]["last_request_at"] > said_at + LEAVE_SECONDS
+        results = await cluster.finish_load()
+        clusters.check_served(results[SERVICE])
+
+    clusters.run(tmp_path, scenario)
