dispatch: keep the alarm of a queue running

Cause: the alarm task waits with curio.timeout_after(None) while the queue is empty; curio 1.6 compares the time with None when that block ends without a timeout, so the task ended with a TypeError at its first wake-up. Later waiters were not woken when a pause of a server or the time until a trial ended. A double wake-up and a lost cancellation were ruled out by the traceback. Change: without a time limit the task waits without a timeout block. Conclusion: queued requests proceed when a pause ends.

--- a/libs/dispatch/src/banyandale_dispatch/_dispatcher.py
+++ b/libs/dispatch/src/banyandale_dispatch/_dispatcher.py
@@ -584,12 +584,16 @@
             self._alarm = wakeups.Wakeup()
             now = self._clock.monotonic()
             self._alarm_at = self._next_change(now) if self._queue else math.inf
-            try:
-                remaining = max(self._alarm_at - now, 0.0)
-                async with curio.timeout_after(
-                    None if remaining == math.inf else remaining
-                ):
-                    await self._alarm.wait()
-            except curio.TaskTimeout:
-                pass
+            await self._wait_for_alarm(now)
             self._hand_out(self._clock.monotonic())
+
+    async def _wait_for_alarm(self, now: float) -> None:
+        # curio 1.6 fails at the end of a timeout of None.
+        if self._alarm_at == math.inf:
+            await self._alarm.wait()
+            return
+        try:
+            async with curio.timeout_after(max(self._alarm_at - now, 0.0)):
+                await self._alarm.wait()
+        except curio.TaskTimeout:
+            pass
--- a/libs/dispatch/tests/test_dispatcher.py
+++ b/libs/dispatch/tests/test_dispatcher.py
@@ -3,6 +3,7 @@
 import curio
 import pytest
 
+import banyandale_core as core
 import banyandale_dispatch as dispatch
 
 OK = dispatch.Outcome(kind=dispatch.OutcomeKind.OK)
@@ -36,7 +37,7 @@
 
 
 async def spawn(dispatcher, clock, **options):
-    options.setdefault("deadline", clock.now + 60)
+    options.setdefault("deadline", clock.monotonic() + 60)
     task = await curio.spawn(dispatcher.acquire(**options))
     await curio.sleep(0)
     return task
@@ -76,3 +77,28 @@
         await high.join()
 
     curio.run(main)
+
+
+def test_pause_ends_after_an_idle_time():
+    # Guards against a queue that no longer notices the end of a pause once
+    # its alarm has waited without a time limit.
+    async def main():
+        dispatcher = dispatch.Dispatcher()
+        dispatcher.update_servers(
+            [dispatch.Server(address="s0", zone="z", slots=1)]
+        )
+        clock = core.SystemClock()
+        held = dispatcher.try_acquire()
+        waiting = await spawn(dispatcher, clock)
+        await curio.sleep(0.2)
+        dispatcher.release(held, OK)
+        dispatcher.release(await waiting.join(), OK)
+        await curio.sleep(0.2)
+        dispatcher.mark_lost("s0")
+        async with curio.timeout_after(5):
+            assignment = await dispatcher.acquire(
+                deadline=clock.monotonic() + 60
+            )
+        assert assignment.address == "s0"
+
+    curio.run(main)
