gateway: probe silent backend servers

Cause: a server that says only in its own responses that it is leaving tells nobody while it gets no request, and a gateway that takes its home over knows nothing of it. Ruled out: a late report (the new home's first request reached the server).

--- a/libs/dispatch/src/banyandale_dispatch/_dispatcher.py
+++ b/libs/dispatch/src/banyandale_dispatch/_dispatcher.py
@@ -53,6 +53,7 @@
         limit_slots: bool = True,
         allow_cold: bool = True,
         initial_service_seconds: float = 0.02,
+        first_report_seconds: float = 0.0,
     ) -> None:
         """Creates a dispatcher without servers.
 
@@ -69,6 +70,8 @@
                 queue; False sends each request at once (baselines).
             allow_cold: Whether servers not known to be warm get work.
             initial_service_seconds: Service time assumed before the first.
+            first_report_seconds: How long a new server waits for its first
+                load report before it gets work; see `list_silent`.
         """
         self._clock = clock or core.SystemClock()
         self._metrics = metrics or core.MemoryMetrics()
@@ -79,6 +82,7 @@
         self._slow_factor = slow_factor
         self._limit_slots = limit_slots
         self._allow_cold = allow_cold
+        self._first_report_seconds = first_report_seconds
         self._servers: dict[str, states.ServerState] = {}
         self._queue = queues.Queue()
         self._alarm: wakeups.Wakeup | None = None
@@ -116,7 +120,10 @@
         for address, server in listed.items():
             state = self._servers.get(address)
             if state is None:
-                self._servers[address] = states.ServerState(server, now=now)
+                state = states.ServerState(server, now=now)
+                # It may have told another gateway that it is leaving.
+                state.retry_at = now + self._first_report_seconds
+                self._servers[address] = state
                 continue
             returned = not state.listed or (
                 state.server.leaving and not server.leaving
@@ -239,7 +246,10 @@
             return
         now = self._clock.monotonic()
         state.reported = report.in_flight
+        state.heard_at = now
         state.losses = 0
+        if state.boot is None:
+            state.retry_at = now
         if state.server.leaving:
             return
         before = state.phase
@@ -330,6 +340,30 @@
         """Returns the state of each listed server, for status and probes."""
         return tuple(s for s in self._servers.values() if s.listed)
 
+    def list_silent(self, seconds: float) -> tuple[str, ...]:
+        """Returns the servers to probe, those silent for longest first.
+
+        Args:
+            seconds: Time without a load report or probe that makes a server
+                silent.
+        """
+        oldest = self._clock.monotonic() - seconds
+        silent = [
+            state
+            for state in self._servers.values()
+            if state.listed
+            and not state.server.leaving
+            and max(state.heard_at, state.probed_at) < oldest
+        ]
+        silent.sort(key=lambda state: state.heard_at)
+        return tuple(state.address for state in silent)
+
+    def note_probe(self, address: str) -> None:
+        """Takes note that a server is being probed."""
+        state = self._servers.get(address)
+        if state is not None:
+            state.probed_at = self._clock.monotonic()
+
     def _estimate(self, position: int, slots: int) -> float:
         return self.times.mean * position / slots if slots else math.inf
 
--- a/libs/dispatch/src/banyandale_dispatch/_states.py
+++ b/libs/dispatch/src/banyandale_dispatch/_states.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 # A late report of a leaving server may still say warm.
 LEAVING_HOLD_SECONDS = 5.0
@@ -100,6 +101,8 @@
         boot: Identity of the server process last reported.
         in_flight: Requests assigned and not yet released.
         reported: In-flight count of the last load report.
+        heard_at: Monotonic seconds of the last load report.
+        probed_at: Monotonic seconds of the last probe.
         running: Assignments in flight, the oldest first.
         cold_since: Monotonic seconds of the last change to COLD.
         epoch: Grows whenever the server may no longer be the one that was
@@ -119,11 +122,13 @@
         "cold_since",
         "epoch",
         "failures",
+        "heard_at",
         "in_flight",
         "leaving_since",
         "listed",
         "losses",
         "phase",
+        "probed_at",
         "reported",
         "retry_at",
         "running",
@@ -139,6 +144,8 @@
         self.boot: str | None = None
         self.in_flight = 0
         self.reported = 0
+        self.heard_at = -math.inf
+        self.probed_at = -math.inf
         self.running: dict[Assignment, None] = {}
         self.cold_since = now
         self.epoch = 0
--- a/libs/gateway/src/banyandale_gateway/_backends.py
+++ b/libs/gateway/src/banyandale_gateway/_backends.py
@@ -18,6 +18,7 @@
 _LOAD = b"server-load"
 _SHED = b"server-shed"
 _SHED_STATUS = 503
+_LOAD_PATH = b"/load"
 
 _OWN_HEADERS = frozenset({DEADLINE, ATTEMPT, REQUEST_ID})
 _SERVER_HEADERS = frozenset({_BOOT, _PHASE, _LOAD, _SHED, REQUEST_ID})
@@ -46,6 +47,9 @@
     ) -> dispatch.LoadReport | None:
         """Returns what the response says of the backend server, if any."""
 
+    def build_probe(self) -> http.Request:
+        """Returns a request that asks for nothing but a load report."""
+
     def is_shed(self, head: http.ResponseHead) -> bool:
         """Whether the backend server says that it did not run the request."""
 
@@ -100,6 +104,10 @@
             slots=int(slots) if slots.isdigit() else 0,
         )
 
+    def build_probe(self) -> http.Request:
+        """Returns `GET /load`, whose response has the headers of a report."""
+        return http.Request(method=b"GET", target=_LOAD_PATH)
+
     def is_shed(self, head: http.ResponseHead) -> bool:
         """Whether this is a 503 with `Server-Shed: not-run`."""
         return head.status == _SHED_STATUS and (
--- a/libs/gateway/src/banyandale_gateway/_gateway.py
+++ b/libs/gateway/src/banyandale_gateway/_gateway.py
@@ -24,6 +24,7 @@
 from banyandale_gateway import _lookup as lookup
 from banyandale_gateway import _membership as membership
 from banyandale_gateway import _peers as peers
+from banyandale_gateway import _probes as probes
 from banyandale_gateway import _rates as rates
 from banyandale_gateway import _router as router
 from banyandale_gateway import _sender as sender
@@ -195,6 +196,13 @@
             source=own.source,
             clock=self._clock,
         )
+        self._prober = probes.Prober(
+            home_table=self._homes,
+            request_sender=self._sender,
+            snapshot=self._follower.current,
+            clock=self._clock,
+            metrics=self._metrics,
+        )
         self._router = router.Router(
             home_table=self._homes,
             peers=peers.PeerHomes(node=self._node, metrics=self._metrics),
@@ -230,6 +238,7 @@
         )
 
     def _build_dispatcher(self, service: config.Service) -> dispatch.Dispatcher:
+        is_home = self._own.routing is settings.Routing.HOME
         return dispatch.Dispatcher(
             clock=self._clock,
             metrics=self._metrics,
@@ -237,7 +246,8 @@
             queue_limit=service.queue_limit,
             cold_limit=service.cold_limit,
             cold_min_seconds=service.cold_min_ms / core.MILLISECONDS_PER_SECOND,
-            limit_slots=self._own.routing is settings.Routing.HOME,
+            limit_slots=is_home,
+            first_report_seconds=probes.FIRST_REPORT_SECONDS if is_home else 0,
         )
 
     def describe(self) -> peer.Heartbeat:
@@ -311,6 +321,8 @@
             self._announce_loads,
             self._flush_metrics,
         )
+        if self._own.routing is settings.Routing.HOME:
+            loops += (self._prober.run,)
         tasks = [await curio.spawn(loop, daemon=True) for loop in loops]
         logging.info("gateway %s started", self._own.gateway_id)
         await core.wait_for_signal(signal.SIGTERM, signal.SIGINT)
--- a/libs/gateway/src/banyandale_gateway/_rates.py
+++ b/libs/gateway/src/banyandale_gateway/_rates.py
@@ -7,7 +7,7 @@
 BURST_SECONDS = 1.0
 
 
-class _Bucket:
+class Bucket:
     """Token bucket; refills continuously."""
 
     def __init__(self, *, now: float) -> None:
@@ -32,7 +32,7 @@
 
     def __init__(self, *, clock: core.Clock) -> None:
         self._clock = clock
-        self._buckets: dict[str, _Bucket] = {}
+        self._buckets: dict[str, Bucket] = {}
         self._gateways = 1
 
     def set_gateways(self, count: int) -> None:
@@ -44,6 +44,6 @@
         if service.rate_limit_per_s is None:
             return True
         now = self._clock.monotonic()
-        bucket = self._buckets.setdefault(service.name, _Bucket(now=now))
+        bucket = self._buckets.setdefault(service.name, Bucket(now=now))
         rate = service.rate_limit_per_s / self._gateways
         return bucket.take(rate=rate, now=now)
--- a/libs/gateway/src/banyandale_gateway/_sender.py
+++ b/libs/gateway/src/banyandale_gateway/_sender.py
@@ -21,6 +21,7 @@
 # Idle connections kept per server. In-flight requests never exceed a few
 # slots, so more would only age.
 IDLE_CONNECTIONS = 8
+MAX_PROBE_BYTES = 16 * 1024
 
 
 class Attempt:
@@ -251,6 +252,45 @@
             clock=self._clock,
         )
 
+    async def probe(
+        self,
+        address: str,
+        *,
+        dispatcher: dispatch.Dispatcher,
+        deadline: float,
+    ) -> None:
+        """Asks a backend server for its load report.
+
+        Raises:
+            HttpError: The server did not answer.
+        """
+        pool = self._pool(address)
+        if not pool.is_connected:
+            dispatcher.mark_unverified(address)
+        try:
+            connection = await pool.acquire(deadline=deadline)
+        except http.ConnectError:
+            dispatcher.mark_lost(address)
+            raise
+        if pool.take_lost():
+            dispatcher.mark_unverified(address)
+        try:
+            response = await connection.exchange(
+                self._protocol.build_probe(),
+                limit=MAX_PROBE_BYTES,
+                deadline=deadline,
+            )
+        except BaseException:
+            await pool.discard(connection)
+            raise
+        await pool.release(connection)
+        head = http.ResponseHead(
+            status=response.status, headers=response.headers, length=None
+        )
+        report = self._protocol.read_report(head)
+        if report is not None:
+            dispatcher.observe(address, report)
+
     def _pool(self, address: str) -> http.Pool:
         pool = self._pools.get(address)
         if pool is None:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -52,6 +52,9 @@
     ),
     neighbours=standins.EpisodeSettings(share=0),
 )
+# The same shares of the capacity need a third of the calls, which leaves the
+# processor to the machine's other users.
+SLOW_DEPLOYMENT = DEPLOYMENT.slow_down(3)
 
 
 class Cluster:
