peer: link by address only and end links without a crash

Cause: a gateway that starts while the platform is down knows no peer ids and had no source of the configuration; curio logs each task that ends with an exception as crashed; refused links were logged as warnings. Change: the dialler may leave the target id empty, the listener gives and proves its own id, and the dialler's advertised address is part of both proofs. A listener accepts an unlisted gateway unless the platform lists its id elsewhere; unlisted peers count only while none is listed. ControlLink.run returns its error. Conclusion: the setting peers is in use.

--- a/libs/gateway/src/banyandale_gateway/_gateway.py
+++ b/libs/gateway/src/banyandale_gateway/_gateway.py
@@ -84,6 +84,8 @@
             secret=own.peer_secret.encode(),
             listen_address=own.peer_listen,
             source=own.source,
+            address=own.peer_advertise,
+            seeds=own.peers,
             state=self,
             metrics=self._metrics,
             clock=self._clock,
@@ -335,7 +337,7 @@
             self._refresh()
             addresses = self._membership.peer_addresses()
             await self._node.update_peers(addresses)
-            self._limits.set_gateways(len(addresses) + 1)
+            self._limits.set_gateways(len(self._node.peers()) + 1)
             for state in self._node.peers():
                 if state.heartbeat is not None:
                     self._follower.announce(state.heartbeat.generation)
--- a/libs/peer/src/banyandale_peer/_connections.py
+++ b/libs/peer/src/banyandale_peer/_connections.py
@@ -1,5 +1,6 @@
 """Connections that carry frames, and the proof of the shared secret."""
 
+import dataclasses
 import hashlib
 import hmac
 import secrets
@@ -186,24 +187,36 @@
     return digest.digest()
 
 
-def _compute_macs(
-    secret: bytes, nonce: bytes, identify: messages.Identify
-) -> tuple[bytes, bytes]:
-    """Returns the proofs of the dialer and of the listener.
-
-    Both cover everything that was said, and each names its role, so that
-    neither can be replayed or reflected.
-    """
-    parts = (
+def _list_parts(nonce: bytes, identify: messages.Identify) -> tuple[bytes, ...]:
+    return (
         nonce,
         identify.nonce,
         identify.gateway_id.encode(),
         identify.target_id.encode(),
         identify.link_kind.encode(),
+        identify.address.encode(),
     )
-    return (
-        _compute_mac(secret, b"banyandale-dialer", *parts),
-        _compute_mac(secret, b"banyandale-listener", *parts),
+
+
+def _prove_dialer(
+    secret: bytes, nonce: bytes, identify: messages.Identify
+) -> bytes:
+    """Returns the proof of the dialer.
+
+    The proofs cover everything that was said, and each names its role, so
+    that neither can be replayed or reflected.
+    """
+    parts = _list_parts(nonce, identify)
+    return _compute_mac(secret, b"banyandale-dialer", *parts)
+
+
+def _prove_listener(
+    secret: bytes, nonce: bytes, identify: messages.Identify, listener_id: str
+) -> bytes:
+    """Returns the proof of the listener, which covers its own id."""
+    parts = _list_parts(nonce, identify)
+    return _compute_mac(
+        secret, b"banyandale-listener", *parts, listener_id.encode()
     )
 
 
@@ -216,29 +229,54 @@
     return message
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Dialer:
+    """What a gateway says of itself when it opens a connection.
+
+    Attributes:
+        gateway_id: Its id.
+        address: Its advertised peer address.
+        secret: Secret that all gateways share.
+        source: Local IP number of the connections, or None.
+    """
+
+    gateway_id: str
+    address: str
+    secret: bytes
+    source: str | None
+
+
 async def dial(
+    dialer: Dialer,
     *,
     address: str,
-    source: str | None,
-    gateway_id: str,
     target_id: str,
     link_kind: str,
-    secret: bytes,
     deadline: float,
-) -> Connection:
+) -> tuple[Connection, str]:
     """Opens a connection and proves the secret in both directions.
 
+    Args:
+        dialer: This gateway.
+        address: `ip:port` of the listener.
+        target_id: Id that the listener must have; empty accepts any.
+        link_kind: What the connection is for.
+        deadline: Monotonic seconds.
+
+    Returns:
+        The connection, and the id that the listener proved.
+
     Raises:
         PeerUnreachableError: Not open, or no proof by the deadline.
         AuthenticationError: The listener's proof is wrong.
     """
     connection = await Connection.open(
-        address=address, source=source, deadline=deadline
+        address=address, source=dialer.source, deadline=deadline
     )
     try:
         async with core.timeout_at(deadline):
-            await _prove_as_dialer(
-                connection, gateway_id, target_id, link_kind, secret
+            listener_id = await _prove_as_dialer(
+                connection, dialer, target_id, link_kind
             )
     except (
         errors.LinkClosedError,
@@ -253,36 +291,35 @@
         await connection.close()
         raise
     connection.set_limit(MAX_FRAME_BYTES[link_kind])
-    return connection
+    return connection, listener_id
 
 
 async def _prove_as_dialer(
-    connection: Connection,
-    gateway_id: str,
-    target_id: str,
-    link_kind: str,
-    secret: bytes,
-) -> None:
+    connection: Connection, dialer: Dialer, target_id: str, link_kind: str
+) -> str:
     challenge = await _receive_kind(connection, messages.Challenge)
     identify = messages.Identify(
-        gateway_id=gateway_id,
+        gateway_id=dialer.gateway_id,
         target_id=target_id,
         link_kind=link_kind,
+        address=dialer.address,
         nonce=secrets.token_bytes(NONCE_BYTES),
         mac=b"",
     )
-    own, expected = _compute_macs(secret, challenge.nonce, identify)
-    proved = messages.Identify(
-        gateway_id=gateway_id,
-        target_id=target_id,
-        link_kind=link_kind,
-        nonce=identify.nonce,
-        mac=own,
-    )
+    own = _prove_dialer(dialer.secret, challenge.nonce, identify)
+    proved = dataclasses.replace(identify, mac=own)
     await connection.send(messages.encode_identify(proved))
     welcome = await _receive_kind(connection, messages.Welcome)
+    expected = _prove_listener(
+        dialer.secret, challenge.nonce, identify, welcome.gateway_id
+    )
     if not hmac.compare_digest(welcome.mac, expected):
         raise errors.AuthenticationError("the listener has another secret")
+    if target_id not in ("", welcome.gateway_id):
+        raise errors.WrongPeerError(
+            f"{welcome.gateway_id} answered instead of {target_id}"
+        )
+    return welcome.gateway_id
 
 
 async def prove_as_listener(
@@ -310,12 +347,21 @@
     challenge = messages.Challenge(nonce=nonce)
     await connection.send(messages.encode_challenge(challenge))
     identify = await _receive_kind(connection, messages.Identify)
-    expected, own = _compute_macs(secret, nonce, identify)
+    expected = _prove_dialer(secret, nonce, identify)
     if not hmac.compare_digest(identify.mac, expected):
         raise errors.AuthenticationError("the dialer has another secret")
-    if identify.target_id != gateway_id:
+    # A dialer with the own id is this gateway, or an attacker that passes
+    # this gateway's proof back to it.
+    if (
+        identify.target_id not in ("", gateway_id)
+        or identify.gateway_id == gateway_id
+    ):
         raise errors.WrongPeerError(
-            f"{identify.gateway_id} wants {identify.target_id}"
+            f"{identify.gateway_id} wants {identify.target_id!r}"
         )
-    await connection.send(messages.encode_welcome(messages.Welcome(mac=own)))
+    welcome = messages.Welcome(
+        gateway_id=gateway_id,
+        mac=_prove_listener(secret, nonce, identify, gateway_id),
+    )
+    await connection.send(messages.encode_welcome(welcome))
     return identify
--- a/libs/peer/src/banyandale_peer/_control.py
+++ b/libs/peer/src/banyandale_peer/_control.py
@@ -6,6 +6,7 @@
 import time
 from typing import Protocol
 
+from absl import logging
 import curio
 
 import banyandale_core as core
@@ -77,11 +78,15 @@
         heard_at: Monotonic seconds of the last heartbeat.
         round_trip: Smoothed round trip time in seconds.
         link: The control link while there is one.
+        listed: Whether the platform lists it, rather than only a link.
     """
 
-    def __init__(self, *, gateway_id: str, address: str) -> None:
+    def __init__(
+        self, *, gateway_id: str, address: str, listed: bool = True
+    ) -> None:
         self.gateway_id = gateway_id
         self.address = address
+        self.listed = listed
         self.heartbeat: messages.Heartbeat | None = None
         self.heard_at = 0.0
         self.round_trip: float | None = None
@@ -166,11 +171,12 @@
         self._error: errors.PeerError | None = None
         self.heard = False
 
-    async def run(self) -> None:
+    async def run(self) -> errors.PeerError | None:
         """Runs the link until it is closed, fails or falls silent.
 
-        Raises:
-            PeerError: Why the link ended; nothing after `close`.
+        Returns:
+            Why the link ended; None after `close`. It is a value, since
+            curio logs every task that ends with an exception as crashed.
         """
         self._peer.link = self
         group = curio.TaskGroup(wait=any)
@@ -187,8 +193,7 @@
                 await waiter.event.set()
             for task in tuple(self._handling):
                 await task.cancel()
-        if self._error is not None:
-            raise self._error
+        return self._error
 
     async def _run_until_error(
         self, loop: Callable[[], Awaitable[None]]
@@ -353,7 +358,10 @@
                 f"heartbeat of {timed.heartbeat.gateway_id} on the link of"
                 f" {self._peer.gateway_id}"
             )
-        self.heard = True
+        if not self.heard:
+            self.heard = True
+            self._metrics.incr("peer_link_up")
+            logging.info("control link to %s is up", self._peer.gateway_id)
         self._peer.heartbeat = timed.heartbeat
         self._peer.heard_at = self._clock.monotonic()
         self._echo_us = timed.sent_us
--- a/libs/peer/src/banyandale_peer/_messages.py
+++ b/libs/peer/src/banyandale_peer/_messages.py
@@ -42,19 +42,30 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Identify:
-    """Identity and proof of the dialer."""
+    """Identity and proof of the dialer.
+
+    Attributes:
+        gateway_id: Id of the dialer.
+        target_id: Id of the listener; empty when the dialer does not know it.
+        link_kind: "control" or "call".
+        address: Advertised peer address of the dialer.
+        nonce: Random bytes of the dialer.
+        mac: Proof of the secret.
+    """
 
     gateway_id: str
     target_id: str
     link_kind: str
+    address: str
     nonce: bytes
     mac: bytes
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Welcome:
-    """Proof of the listener."""
+    """Identity and proof of the listener."""
 
+    gateway_id: str
     mac: bytes
 
 
@@ -266,13 +277,16 @@
     part.linkKind = identify.link_kind
     part.nonce = identify.nonce
     part.mac = identify.mac
+    part.address = identify.address
     return message.to_bytes()
 
 
 def encode_welcome(welcome: Welcome) -> bytes:
     """Encodes a `Welcome`."""
     message = _MESSAGE.new_message()
-    message.init("welcome").mac = welcome.mac
+    part = message.init("welcome")
+    part.mac = welcome.mac
+    part.gatewayId = welcome.gateway_id
     return message.to_bytes()
 
 
@@ -417,6 +431,7 @@
         link_kind=str(part.linkKind),
         nonce=part.nonce,
         mac=part.mac,
+        address=part.address,
     )
 
 
@@ -491,7 +506,7 @@
 _DECODERS: dict[str, Callable[[Any], Any]] = {
     "challenge": lambda part: Challenge(nonce=part.nonce),
     "identify": _decode_identify,
-    "welcome": lambda part: Welcome(mac=part.mac),
+    "welcome": lambda part: Welcome(gateway_id=part.gatewayId, mac=part.mac),
     "heartbeat": _decode_heartbeat,
     "loadReport": lambda part: LoadChange(homes=_decode_homes(part)),
     "request": _decode_request,
--- a/libs/peer/src/banyandale_peer/_node.py
+++ b/libs/peer/src/banyandale_peer/_node.py
@@ -21,6 +21,7 @@
 MAX_INBOUND_CONNECTIONS = 4096
 REDIAL_MIN_SECONDS = 0.05
 REDIAL_MAX_SECONDS = 1.0
+SEED_CHECK_SECONDS = 0.25
 # Pause after a failed accept, which means that file descriptors ran out.
 ACCEPT_RETRY_SECONDS = 0.05
 STOP_POLL_SECONDS = 0.01
@@ -67,6 +68,11 @@
         listen_address: `ip:port` to listen on; may differ from the address
             that the peers are told.
         source: Local IP number of dialled connections, or None.
+        address: Advertised `ip:port` of this gateway; the listening one when
+            empty.
+        seeds: Advertised addresses of peers whose ids are not known. A link
+            to each is kept, so that a gateway can start while the platform
+            is down.
         state: Source of the heartbeat contents.
         metrics: Receiver of counters.
         clock: Source of time.
@@ -82,11 +88,15 @@
         metrics: core.Metrics,
         clock: core.Clock,
         source: str | None = None,
+        address: str = "",
+        seeds: Iterable[str] = (),
     ) -> None:
         self._gateway_id = gateway_id
         self._secret = secret
         self._listen_address = listen_address
         self._source = source
+        self._address = address
+        self._seeds = tuple(seeds)
         self._state = state
         self._metrics = metrics
         self._clock = clock
@@ -95,6 +105,7 @@
         self._records: dict[str, control.PeerRecord] = {}
         self._pools: dict[str, calls.CallPool] = {}
         self._dialers: dict[str, curio.Task] = {}
+        self._seed_dialers: list[curio.Task] = []
         self._inbound: set[curio.Task] = set()
         self._servers: set[serving.CallServer] = set()
         self._listener: curio.io.Socket | None = None
@@ -131,6 +142,10 @@
             self._acceptor = await curio.spawn(self._accept_all, daemon=True)
             for record in tuple(self._records.values()):
                 await self._start_dialer(record)
+            for address in self._seeds:
+                self._seed_dialers.append(
+                    await curio.spawn(self._keep_seed, address, daemon=True)
+                )
             await self._stopping.wait()
         finally:
             await self._close_all()
@@ -155,7 +170,11 @@
         await self._stopped.wait()
 
     async def _close_all(self) -> None:
-        tasks = [*self._dialers.values(), *self._inbound]
+        tasks = [
+            *self._dialers.values(),
+            *self._seed_dialers,
+            *self._inbound,
+        ]
         if self._acceptor is not None:
             tasks.append(self._acceptor)
         for task in tasks:
@@ -168,21 +187,38 @@
             self._listener = None
 
     async def update_peers(self, peers: Iterable[PeerAddress]) -> None:
-        """Replaces the set of peers. The own id is ignored."""
+        """Replaces the set of peers that the platform lists.
+
+        The own id is ignored. Peers that only a link tells of stay until the
+        link ends, unless their id is listed with another address.
+        """
         wanted = {
             peer.gateway_id: peer.address
             for peer in peers
             if peer.gateway_id != self._gateway_id
         }
         for record in tuple(self._records.values()):
-            if wanted.get(record.gateway_id) != record.address:
+            listed_address = wanted.get(record.gateway_id)
+            if listed_address is None and not record.listed:
+                continue
+            if listed_address != record.address:
                 await self._remove_peer(record)
         for gateway_id, address in wanted.items():
-            if gateway_id not in self._records:
-                await self._add_peer(gateway_id, address)
+            record = self._records.get(gateway_id)
+            if record is None:
+                record = self._add_record(gateway_id, address, listed=True)
+            elif record.listed:
+                continue
+            record.listed = True
+            if self._running:
+                await self._start_dialer(record)
 
-    async def _add_peer(self, gateway_id: str, address: str) -> None:
-        record = control.PeerRecord(gateway_id=gateway_id, address=address)
+    def _add_record(
+        self, gateway_id: str, address: str, *, listed: bool
+    ) -> control.PeerRecord:
+        record = control.PeerRecord(
+            gateway_id=gateway_id, address=address, listed=listed
+        )
         self._records[gateway_id] = record
 
         async def dial(deadline: float) -> connections.Connection:
@@ -191,8 +227,7 @@
         self._pools[gateway_id] = calls.CallPool(
             dial=dial, clock=self._clock, metrics=self._metrics
         )
-        if self._running:
-            await self._start_dialer(record)
+        return record
 
     async def _remove_peer(self, record: control.PeerRecord) -> None:
         del self._records[record.gateway_id]
@@ -205,14 +240,19 @@
         await pool.close()
 
     async def _start_dialer(self, record: control.PeerRecord) -> None:
-        if self._gateway_id < record.gateway_id:
+        if record.listed and self._gateway_id < record.gateway_id:
             self._dialers[record.gateway_id] = await curio.spawn(
                 self._keep_link, record, daemon=True
             )
 
     def peers(self) -> tuple[PeerState, ...]:
-        """Returns what is known about each peer."""
+        """Returns what is known about each peer.
+
+        Peers that only a link tells of count while the platform has listed
+        none: one of them may have lost its lease.
+        """
         now = self._clock.monotonic()
+        any_listed = any(record.listed for record in self._records.values())
         return tuple(
             PeerState(
                 gateway_id=record.gateway_id,
@@ -222,6 +262,7 @@
                 round_trip=record.round_trip,
             )
             for record in self._records.values()
+            if record.listed or not any_listed
         )
 
     async def announce(self) -> None:
@@ -280,15 +321,22 @@
     async def _dial(
         self, record: control.PeerRecord, link_kind: str, deadline: float
     ) -> connections.Connection:
-        return await connections.dial(
+        connection, _ = await connections.dial(
+            self._describe_dialer(),
             address=record.address,
-            source=self._source,
-            gateway_id=self._gateway_id,
             target_id=record.gateway_id,
             link_kind=link_kind,
-            secret=self._secret,
             deadline=deadline,
         )
+        return connection
+
+    def _describe_dialer(self) -> connections.Dialer:
+        return connections.Dialer(
+            gateway_id=self._gateway_id,
+            address=self._address or self.listen(),
+            secret=self._secret,
+            source=self._source,
+        )
 
     async def _keep_link(self, record: control.PeerRecord) -> None:
         delay = REDIAL_MIN_SECONDS
@@ -296,18 +344,80 @@
             try:
                 deadline = time.monotonic() + HANDSHAKE_SECONDS
                 connection = await self._dial(record, CONTROL, deadline)
+            except errors.PeerError as error:
+                self._metrics.incr(error.code)
+            else:
+                if await self._run_link(record, connection):
+                    delay = REDIAL_MIN_SECONDS
+            await curio.sleep(delay * random.uniform(0.5, 1.0))
+            delay = min(delay * 2, REDIAL_MAX_SECONDS)
+
+    async def _keep_seed(self, address: str) -> None:
+        """Keeps a link to the gateway at an address, whatever its id is."""
+        delay = REDIAL_MIN_SECONDS
+        while True:
+            if any(
+                record.address == address and record.link is not None
+                for record in self._records.values()
+            ):
                 delay = REDIAL_MIN_SECONDS
-                await self._run_link(record, connection)
+                await curio.sleep(SEED_CHECK_SECONDS)
+                continue
+            try:
+                await self._run_seed_link(address)
             except errors.PeerError as error:
                 self._metrics.incr(error.code)
             await curio.sleep(delay * random.uniform(0.5, 1.0))
             delay = min(delay * 2, REDIAL_MAX_SECONDS)
 
+    async def _run_seed_link(self, address: str) -> None:
+        connection, gateway_id = await connections.dial(
+            self._describe_dialer(),
+            address=address,
+            target_id="",
+            link_kind=CONTROL,
+            deadline=time.monotonic() + HANDSHAKE_SECONDS,
+        )
+        try:
+            record = self._find_record(gateway_id, address)
+        except errors.PeerError:
+            await connection.close()
+            raise
+        if record.link is not None:
+            await connection.close()
+            return
+        await self._run_link(record, connection)
+        await self._drop_unlisted(record)
+
+    def _find_record(self, gateway_id: str, address: str) -> control.PeerRecord:
+        """Returns the record of a peer that has proved id and address.
+
+        Raises:
+            WrongPeerError: The platform lists the id with another address.
+        """
+        record = self._records.get(gateway_id)
+        if record is None:
+            return self._add_record(gateway_id, address, listed=False)
+        if record.address != address:
+            raise errors.WrongPeerError(
+                f"{gateway_id!r} is at {record.address}, not at {address}"
+            )
+        return record
+
+    async def _drop_unlisted(self, record: control.PeerRecord) -> None:
+        if (
+            not record.listed
+            and record.link is None
+            and self._records.get(record.gateway_id) is record
+        ):
+            await self._remove_peer(record)
+
     async def _run_link(
         self,
         record: control.PeerRecord,
         connection: connections.Connection,
-    ) -> None:
+    ) -> bool:
+        """Runs a link to its end; returns whether the peer was heard."""
         link = control.ControlLink(
             connection=connection,
             peer=record,
@@ -316,15 +426,21 @@
             clock=self._clock,
             metrics=self._metrics,
         )
-        self._metrics.incr("peer_link_up")
-        logging.info("control link to %s is up", record.gateway_id)
-        try:
-            await link.run()
-        except errors.PeerError as error:
-            logging.warning(
-                "control link to %s is down: %s", record.gateway_id, error
+        error = await link.run()
+        if error is not None:
+            self._metrics.incr(error.code)
+        if link.heard:
+            level = logging.INFO if error is None else logging.WARNING
+            logging.log(
+                level,
+                "control link to %s is down: %s",
+                record.gateway_id,
+                error or "closed here",
             )
-            raise
+        else:
+            # The listener does not know this gateway yet, or has ended.
+            self._metrics.incr("peer_link_refused")
+        return link.heard
 
     async def _accept_all(self) -> None:
         while True:
@@ -352,7 +468,7 @@
                 deadline=time.monotonic() + HANDSHAKE_SECONDS,
             )
             if identify.link_kind == CONTROL:
-                await self._serve_control(identify.gateway_id, connection)
+                await self._serve_control(identify, connection)
             else:
                 await self._serve_calls(connection)
         except errors.LinkClosedError:
@@ -365,15 +481,17 @@
             await connection.close()
 
     async def _serve_control(
-        self, peer_id: str, connection: connections.Connection
+        self, identify: messages.Identify, connection: connections.Connection
     ) -> None:
-        record = self._records.get(peer_id)
-        if record is None or peer_id >= self._gateway_id:
-            raise errors.UnknownPeerError(f"control link of {peer_id!r}")
+        record = self._find_record(identify.gateway_id, identify.address)
         if record.link is not None:
+            if record.listed and self._gateway_id < record.gateway_id:
+                # This gateway dials the link of the pair and has it.
+                raise errors.PeerBusyError(f"link of {record.gateway_id!r}")
             # The dialer has lost that one, or it would not dial again.
             await record.link.close()
         await self._run_link(record, connection)
+        await self._drop_unlisted(record)
 
     async def _serve_calls(self, connection: connections.Connection) -> None:
         if self._call_handler is None:
--- a/libs/peer/src/banyandale_peer/messages.capnp
+++ b/libs/peer/src/banyandale_peer/messages.capnp
@@ -37,18 +37,22 @@
   nonce @0 :Data;
 }
 
-# Answer of the dialer. The listener's own id is part of the MAC.
+# Answer of the dialer. All of it and the listener's id are part of the MACs.
 struct Identify {
   gatewayId @0 :Text;
+  # Empty when the dialer knows only the listener's address.
   targetId @1 :Text;
   linkKind @2 :LinkKind;
   nonce @3 :Data;
   mac @4 :Data;
+  # Advertised peer address of the dialer.
+  address @5 :Text;
 }
 
 # Proof of the listener.
 struct Welcome {
   mac @0 :Data;
+  gatewayId @1 :Text;
 }
 
 struct HomeLoad {
--- a/libs/peer/tests/test_node.py
+++ b/libs/peer/tests/test_node.py
@@ -291,7 +291,13 @@
 
     async def main():
         async with linked_nodes(handler=echo) as (first, second):
-            await wait_until(lambda: first.peers()[0].heartbeat is not None)
+            # A gateway sends reports only to peers that it has heard of.
+            await wait_until(
+                lambda: all(
+                    node.peers()[0].heartbeat is not None
+                    for node in (first, second)
+                )
+            )
             home = peer.HomeReport(
                 service="catalogue", zone="a", free_slots=0, queued=3, wait=0.25
             )
--- a/libs/peer/tests/test_silence.py
+++ b/libs/peer/tests/test_silence.py
@@ -245,7 +245,7 @@
         received.append(await connection.receive())
         await connection.send(
             connections.messages.encode_welcome(
-                connections.messages.Welcome(mac=b"m" * 32)
+                connections.messages.Welcome(gateway_id="b", mac=b"m" * 32)
             )
         )
         connection.set_limit(connections.MAX_CALL_FRAME_BYTES)
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -199,21 +199,31 @@
         address = self.system.deployment.platform_address()
         await standins.call_admin(address, "PUT", "/v1/vms", {"vms": vms})
 
-    def start_load(self, *, seconds: float, retries: int = 0) -> float:
+    def start_load(
+        self,
+        *,
+        seconds: float,
+        retries: int = 0,
+        services: Collection[str] = ("catalogue", "ledger"),
+    ) -> float:
         """Starts a steady load from all zones; returns its Unix start."""
         phases = (standins.PhaseSettings(name=LOAD_PHASE, seconds=seconds),)
         deployment = self.system.deployment
-        return self.system.start_loads(
-            {
-                zone: deployment.build_load(
-                    zone,
-                    gateways=self.system.gateways,
-                    share=LOAD_SHARE,
-                    phases=phases,
-                ).model_copy(update={"retries": retries})
-                for zone in deployment.zones
-            }
-        )
+        loads = {}
+        for zone in deployment.zones:
+            settings = deployment.build_load(
+                zone,
+                gateways=self.system.gateways,
+                share=LOAD_SHARE,
+                phases=phases,
+            )
+            traffic = tuple(
+                item for item in settings.traffic if item.service in services
+            )
+            loads[zone] = settings.model_copy(
+                update={"retries": retries, "traffic": traffic}
+            )
+        return self.system.start_loads(loads)
 
     async def finish_load(self) -> dict[str, standins.ServiceResult]:
         """Waits for the end of the load; returns its results by service."""
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -13,7 +13,7 @@
 # How long the server is watched after that; another gateway takes a home
 # over within this time.
 WATCH_SECONDS = 3.5
-LOAD_SECONDS = 0.5 + LEAVE_SECONDS + WATCH_SECONDS
+LOAD_SECONDS = 1.0 + LEAVE_SECONDS + WATCH_SECONDS
 
 
 async def announce(cluster, source, address):
@@ -46,9 +46,12 @@
         start = cluster.start_load(
             seconds=LOAD_SECONDS, retries=2 if kill == "home" else 0
         )
-        await clusters.sleep_until(start + 0.5)
-        states = await cluster.server_states()
-        assert states[address]["last_request_at"] > start
+
+        async def has_worked():
+            states = await cluster.server_states()
+            return states[address]["last_request_at"] > start
+
+        await cluster.wait_for(has_worked)
 
         said_at = time.time()
         await announce(cluster, source, address)
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -47,8 +47,11 @@
         start = cluster.start_load(
             seconds=LOAD_SECONDS, retries=2 if kill == "home" else 0
         )
-        await clusters.sleep_until(start + 0.5)
-        assert await find_last_request(cluster, ZONE) > start
+
+        async def has_worked():
+            return await find_last_request(cluster, ZONE) > start
+
+        await cluster.wait_for(has_worked)
 
         await cluster.system.apply_zones(out=[ZONE])
         accepted_at = time.time()
