--- a/libs/standins/src/banyandale_standins/_system.py
+++ b/libs/standins/src/banyandale_standins/_system.py
@@ -119,7 +119,15 @@
         path.write_text(settings.model_dump_json())
         self.processes.start(name, (STANDINS, command, str(path)))
 
-    def start_gateway(self, gateway: deployments.GatewayPlan) -> None:
+    def start_gateway(
+        self, gateway: deployments.GatewayPlan, *, peers: Sequence[str] = ()
+    ) -> None:
+        """Starts the process of a gateway.
+
+        Args:
+            gateway: Its addresses.
+            peers: Advertised peer addresses to start from.
+        """
         values = {
             "ID": gateway.name,
             "ZONE": gateway.zone,
@@ -131,6 +139,7 @@
             "ROUTING": self._variant.routing,
             "POLICY": self._variant.policy,
             "SOURCE": gateway.ip,
+            "PEERS": ",".join(peers),
         }
         self.processes.start(
             gateway.name,
