--- a/Makefile
+++ b/Makefile
@@ -43,10 +43,11 @@
 
 # Builds the program as one file, dist/banyandale.
 dist: venv
-	mkdir -p dist build
-	$(VENV)/bin/shiv -q -c banyandale -o dist/banyandale -p '/usr/bin/env python3' \
-	    $(addprefix ./libs/,core retry http platform lease config claims dispatch peer gateway console app) \
-	    -c requirements/constraints.txt
+	mkdir -p dist
+	PIP_CONSTRAINT=requirements/constraints.txt $(VENV)/bin/shiv \
+	    --console-script banyandale --output-file dist/banyandale \
+	    --python '/usr/bin/env python3' -q \
+	    $(addprefix ./libs/,core retry http platform lease config claims dispatch peer gateway console app)
 
 clean:
 	rm -rf build dist
