claims: Correct two faults of the state machine's model

It was the model: curio's Task.cancel returns nothing, so a cancelled claim whose gateway was restarted was taken for releasable; and waits could add up to the retention, after which a second grant is right. The machine now records every cancelled claim and lets the retention pass only as a step of its own. Both checks are as strict as before: no second grant within the retention, and every key that is not blocked by a vanished gateway is granted in the end.

--- a/libs/claims/tests/test_machine.py
+++ b/libs/claims/tests/test_machine.py
@@ -141,6 +141,7 @@
         self.unreleased = {0: set(), 1: set()}
         self.owners = [self.make_owner(index) for index in OWNERS]
         self.granted_twice = []
+        self.waited = 0.0  # Since the retention of all keys has passed.
         self.marks = {core.RunMark.NOT_RUN}
 
     @stateful.invariant()
@@ -179,6 +180,9 @@
                 identity=identity,
                 deadline=time.monotonic() + 5,
             )
+        except curio.CancelledError:
+            self.unreleased[owner].add(key)
+            raise
         except claims.ClaimError as error:
             self.unreleased[owner].add(key)
             self.marks.add(error.run)
@@ -220,8 +224,7 @@
             task = await curio.spawn(self.begin, owner, key)
             for _ in range(yields):
                 await curio.sleep(0)
-            if await task.cancel():
-                self.unreleased[owner].add(key)
+            await task.cancel()
 
         self.run(main)
 
@@ -293,12 +296,16 @@
 
     @stateful.rule(seconds=strategies.sampled_from((0.3, 70.0)))
     def wait(self, seconds):
+        if self.waited > log.RETENTION_SECONDS / 2:
+            self.pass_retention()
+        self.waited += seconds
         self.run(curio.sleep, seconds)
 
     @stateful.rule()
     def pass_retention(self):
         """After the retention every key may be granted again."""
         self.clock.now += log.RETENTION_SECONDS + 100
+        self.waited = 0.0
         self.held.clear()
         self.stuck.clear()
 
