tests: keep cluster ports below the range of outgoing connections

Cause: listeners of test clusters could collide with ports that the system had given to outgoing connections. Change: ports 10000 to 30000 by process.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -17,9 +17,11 @@
 import banyandale_http as http
 import banyandale_standins as standins
 
-# Each test process uses its own ports, and each cluster of it the next ones.
+# Below the range that the system gives to outgoing connections. Each test
+# process uses its own ports, and each cluster of it the next ones.
 PORTS_PER_CLUSTER = 10
-FIRST_PORT = 22000 + os.getpid() % 2000 * PORTS_PER_CLUSTER
+PORTS_PER_PROCESS = 200
+FIRST_PORT = 10_000 + os.getpid() % 100 * PORTS_PER_PROCESS
 _ports = itertools.count(FIRST_PORT, PORTS_PER_CLUSTER)
 
 CALL_SECONDS = 5.0
