peer: Report a body that ends early as unknown; end half-sent answers

An error within the body of an answer could carry the mark not-run, although the call had run. An answer whose sending stopped at the deadline left half a frame on an open connection; the connection is now ended, so that the dialer doesn't wait for the rest. Both tests failed without the change.

--- a/libs/peer/src/banyandale_peer/_calls.py
+++ b/libs/peer/src/banyandale_peer/_calls.py
@@ -315,6 +315,10 @@
             raise errors.PeerTimeoutError(
                 "body not complete before the deadline", run=UNKNOWN
             ) from error
+        except errors.RemoteError as error:
+            # The call has run, whatever stopped its body.
+            await self.close()
+            raise errors.RemoteError(error.remote_code, run=UNKNOWN) from error
         except BaseException:
             await self.close()
             raise
--- a/libs/peer/src/banyandale_peer/_connections.py
+++ b/libs/peer/src/banyandale_peer/_connections.py
@@ -173,6 +173,15 @@
             ) from error
         self._open = True
 
+    def abort(self) -> None:
+        """Ends the connection while another task is receiving on it."""
+        self._open = False
+        try:
+            self._sock._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The other side has ended it already.
+            pass
+
     async def close(self) -> None:
         """Closes the connection."""
         self._open = False
--- a/libs/peer/src/banyandale_peer/_serving.py
+++ b/libs/peer/src/banyandale_peer/_serving.py
@@ -134,6 +134,8 @@
     ) -> None:
         self._metrics.incr(f"peer_call_{code}")
         if not self._connection.is_open:
+            # Half a frame was sent; the dialer must not wait for the rest.
+            self._connection.abort()
             return
         error = messages.CallError(id=call_id, code=code, run=run)
         try:
--- a/libs/peer/tests/test_node.py
+++ b/libs/peer/tests/test_node.py
@@ -207,6 +207,25 @@
     curio.run(main)
 
 
+def test_unread_answer_ends_at_the_deadline():
+    """Guards against half a frame after which the dialer waits on."""
+
+    async def handler(request):
+        return peer.CallAnswer(status=200, body=b"x" * 30_000_000)
+
+    async def main():
+        async with linked_nodes(handler=handler) as (first, second):
+            request = make_request(deadline=soon(0.3))
+            answer = await first.call("b", request)
+            await wait_until(lambda: not second._servers)
+            with pytest.raises(peer.PeerError) as caught:
+                while await answer.chunks.read():
+                    pass
+            assert caught.value.run is core.RunMark.UNKNOWN
+
+    curio.run(main)
+
+
 def test_broken_body_is_no_complete_answer():
     """Guards against a truncated body that ends like a whole one."""
 
@@ -217,7 +236,8 @@
         async def read(self):
             if self.pieces:
                 return self.pieces.pop()
-            raise RuntimeError
+            # A mark that must not reach the caller: the call has run.
+            raise peer.PeerUnreachableError("broken")
 
         async def close(self):
             pass
