Give each zone a relay of its own

One relay carried the links of all gateways, which made it the busiest stand-in. Links within a zone are now forwarded without a queue, and each zone has its own process.

--- a/libs/standins/src/banyandale_standins/_deployments.py
+++ b/libs/standins/src/banyandale_standins/_deployments.py
@@ -128,9 +128,9 @@
         """Returns the address of the platform stand-in."""
         return f"127.0.0.1:{self.port + PLATFORM_PORT}"
 
-    def relay_admin(self) -> str:
-        """Returns the address of the relay's admin listener."""
-        return f"127.0.0.1:{self.port + RELAY_ADMIN_PORT}"
+    def relay_admin(self, zone: str) -> str:
+        """Returns the admin listener of the relay to a zone's gateways."""
+        return f"{self._prefix(zone)}1:{self.port + RELAY_ADMIN_PORT}"
 
     def backends_admin(self, zone: str) -> str:
         """Returns the address of the admin listener of a zone's servers."""
@@ -228,11 +228,11 @@
         )
 
     def build_relay(
-        self, gateways: Sequence[GatewayPlan], *, seed: int = 1
+        self, zone: str, gateways: Sequence[GatewayPlan], *, seed: int = 1
     ) -> relay.RelaySettings:
-        """Returns the settings of the relay between the gateways."""
+        """Returns the settings of the relay to the gateways of a zone."""
         return relay.RelaySettings(
-            admin=self.relay_admin(),
+            admin=self.relay_admin(zone),
             seed=seed,
             network=self.build_network(),
             routes=tuple(
@@ -242,6 +242,7 @@
                     zone=gateway.zone,
                 )
                 for gateway in gateways
+                if gateway.zone == zone
             ),
         )
 
--- a/libs/standins/src/banyandale_standins/_relay.py
+++ b/libs/standins/src/banyandale_standins/_relay.py
@@ -20,6 +20,7 @@
 # Pieces on their way in one direction; further data waits in the sender.
 MAX_PIECES = 256
 OPEN_SECONDS = 5.0
+SILENCE_POLL_SECONDS = 0.01
 
 
 class RouteSettings(networks.Model):
@@ -133,12 +134,29 @@
         )
 
     async def _forward(
-        self,
-        pair: _Pair,
-        source: curio.io.Socket,
-        target: curio.io.Socket,
+        self, pair: _Pair, source: curio.io.Socket, target: curio.io.Socket
     ) -> None:
         """Forwards one direction until it ends, keeping the order."""
+        if len(pair.zones) == 1:
+            # Nothing is delayed within a zone.
+            await self._copy(pair, source, target)
+        else:
+            await self._delay(pair, source, target)
+
+    async def _copy(
+        self, pair: _Pair, source: curio.io.Socket, target: curio.io.Socket
+    ) -> None:
+        try:
+            while data := await source.recv(RECEIVE_BYTES):
+                await self._wait_while_silent(pair)
+                await target.sendall(data)
+                self.counters["bytes"] += len(data)
+        except OSError:
+            self.counters["failed"] += 1
+
+    async def _delay(
+        self, pair: _Pair, source: curio.io.Socket, target: curio.io.Socket
+    ) -> None:
         pieces: curio.Queue = curio.Queue(maxsize=MAX_PIECES)
         sender = await curio.spawn(self._send_pieces, pair, pieces, target)
         try:
@@ -160,13 +178,16 @@
             due, data = await pieces.get()
             if (delay := due - time.monotonic()) > 0:
                 await curio.sleep(delay)
-            while self._is_silent(pair):
-                await curio.sleep(0.01)
+            await self._wait_while_silent(pair)
             if not data:
                 return
             await target.sendall(data)
             self.counters["bytes"] += len(data)
 
+    async def _wait_while_silent(self, pair: _Pair) -> None:
+        while self._is_silent(pair):
+            await curio.sleep(SILENCE_POLL_SECONDS)
+
     def _is_silent(self, pair: _Pair) -> bool:
         return pair.is_silent or self._states.get(pair.zones) == "silent"
 
--- a/libs/standins/src/banyandale_standins/_system.py
+++ b/libs/standins/src/banyandale_standins/_system.py
@@ -21,6 +21,7 @@
 from banyandale_standins import _deployments as deployments
 from banyandale_standins import _load as load
 from banyandale_standins import _processes as processes
+from banyandale_standins import _relay as relay
 from banyandale_standins import _results as results
 
 STANDINS = "banyandale_standins"
@@ -100,8 +101,10 @@
         for zone in self.deployment.zones:
             settings = self.deployment.build_backends(zone, seed=self._seed)
             self._start_standin("backends", f"backends-{zone}", settings)
-        settings = self.deployment.build_relay(self.gateways, seed=self._seed)
-        self._start_standin("relay", "relay", settings)
+            settings = self.deployment.build_relay(
+                zone, self.gateways, seed=self._seed
+            )
+            self._start_standin("relay", f"relay-{zone}", settings)
         await self._wait_for("platform", self._list_vms)
         for gateway in self.gateways:
             self.start_gateway(gateway)
@@ -183,6 +186,12 @@
         )
         return self._generation
 
+    async def change_links(self, change: relay.LinkChange) -> None:
+        """Cuts, silences or restores links between the gateways of zones."""
+        for zone in self.deployment.zones:
+            address = self.deployment.relay_admin(zone)
+            await admin.call(address, "PUT", "/links", change.model_dump())
+
     async def read_statuses(self) -> list[dict[str, Any]]:
         """Returns the status page of every gateway."""
         return [
--- a/libs/standins/tests/test_deployments.py
+++ b/libs/standins/tests/test_deployments.py
@@ -26,7 +26,9 @@
                 gateway.peer_advertise,
             )
         ]
-    zones += [(deployment.backends_admin(zone), zone) for zone in network.zones]
+    for zone in network.zones:
+        zones.append((deployment.backends_admin(zone), zone))
+        zones.append((deployment.relay_admin(zone), zone))
     assert len({address for address, _ in zones}) == len(zones)
     assert all(network.find_zone(address) == zone for address, zone in zones)
     assert len(gateways) == 16
--- a/libs/standins/tests/test_relay.py
+++ b/libs/standins/tests/test_relay.py
@@ -97,6 +97,20 @@
     run(check, "127.0.1.7")
 
 
+def test_connection_within_a_zone_is_forwarded():
+    """Guards against a path without delay that loses or reorders bytes."""
+
+    async def check(connect, change, peers):
+        sock = await connect()
+        data = bytes(range(256)) * 4096
+        sender = await curio.spawn(sock.sendall, data)
+        assert await receive(sock, len(data)) == data
+        await sender.join()
+        assert peers == ["127.0.2.7"]
+
+    run(check, "127.0.2.7")
+
+
 def test_cut_and_silence():
     """Guards against faults that do not reach open or new connections."""
 
