peer: send loads to uninterested peers every 2 s only

Cause: a heartbeat with changed loads was sent in full every 0.5 s to each peer; the estimate for 15 gateways was 4 KB/s, over the 3 KB/s budget. Change: loads go at once only to peers with homes of the same service, to others with a full heartbeat at most every 2 s. Conclusion: routes to homes elsewhere use loads up to 2 s old only from gateways that hold no home of the service.

--- a/libs/peer/src/banyandale_peer/_control.py
+++ b/libs/peer/src/banyandale_peer/_control.py
@@ -23,6 +23,9 @@
 LOAD_CHANGE_RATIO = 0.25
 # Changes of the estimated wait below this do not matter to any decision.
 LOAD_CHANGE_FLOOR_SECONDS = 0.001
+# Peers without a home of the same service get loads this often only: in full
+# heartbeats every 0.5 s, 15 gateways would spend more than 3 KB/s each.
+LOADS_SECONDS = 2.0
 MAX_QUEUED_FRAMES = 1024
 MAX_HANDLED_REQUESTS = 256
 # Weight of a new round trip sample, as for TCP (RFC 6298).
@@ -164,6 +167,7 @@
         self._reported_at = 0.0
         # Contents that the peer has, unless a load report changed them.
         self._last_sent: messages.Heartbeat | None = None
+        self._loads_due_at = 0.0
         self._echo_us = 0
         self._error: errors.PeerError | None = None
         self.heard = False
@@ -288,13 +292,14 @@
 
     def _make_heartbeat(self) -> bytes:
         heartbeat: messages.Heartbeat | None = self._state.describe()
-        self._reported = {
-            (home.service, home.zone): home for home in heartbeat.homes
-        }
-        if heartbeat == self._last_sent:
-            heartbeat = None
-        else:
+        if self._needs_full_heartbeat(heartbeat):
             self._last_sent = heartbeat
+            self._loads_due_at = time.monotonic() + LOADS_SECONDS
+            self._reported = {
+                (home.service, home.zone): home for home in heartbeat.homes
+            }
+        else:
+            heartbeat = None
         now_us = self._now_us()
         delay_us = 0
         if self._echo_us:
@@ -309,6 +314,13 @@
         )
         return messages.encode_heartbeat(timed)
 
+    def _needs_full_heartbeat(self, heartbeat: messages.Heartbeat) -> bool:
+        """Whether more than the times has to be sent."""
+        last = self._last_sent
+        if last is None or _without_loads(heartbeat) != _without_loads(last):
+            return True
+        return heartbeat != last and time.monotonic() >= self._loads_due_at
+
     def _now_us(self) -> int:
         now = self._clock.monotonic()
         return int(now * messages.MICROSECONDS_PER_SECOND)
@@ -455,3 +467,11 @@
                 )
             )
         await self._outgoing.put(frame)
+
+
+def _without_loads(heartbeat: messages.Heartbeat) -> messages.Heartbeat:
+    homes = tuple(
+        messages.HomeReport(service=home.service, zone=home.zone)
+        for home in heartbeat.homes
+    )
+    return dataclasses.replace(heartbeat, homes=homes)
