gateway: test lookups, rate limits and routing decisions

Cause: the decisions of the router were only covered by whole clusters. Change: unit tests with fakes for homes, peers and attempts.

--- /dev/null
+++ b/libs/gateway/tests/test_router.py
@@ -0,0 +1,218 @@
+"""Tests of routing, with fakes for homes, peers and attempts."""
+
+import dataclasses
+import time
+
+import curio
+import pytest
+
+import banyandale_core as core
+from banyandale_gateway import _budgets as budgets
+from banyandale_gateway import _calls as calls
+from banyandale_gateway import _errors as errors
+from banyandale_gateway import _homes as homes
+from banyandale_gateway import _router as router
+import banyandale_http as http
+
+OK = calls.Answer(head=http.ResponseHead(status=200), body=b"")
+UNKNOWN = core.RunMark.UNKNOWN
+
+
+@dataclasses.dataclass
+class Service:
+    name: str = "s"
+    priority: int = 1
+    retry_ratio: float = 0.0
+
+
+class Times:
+    p95 = 100.0
+
+
+class Dispatcher:
+    """Grants every request; its wait is set by the test."""
+
+    times = Times()
+    allow_cold = True
+
+    def __init__(self, wait):
+        self.wait = wait
+        self.excluded = []
+
+    def estimate_wait(self):
+        return self.wait
+
+    def is_warm(self, address):
+        return True
+
+    async def acquire(self, *, deadline, priority, exclude):
+        self.excluded.append(exclude)
+        return dataclasses.make_dataclass("A", ["address"])(
+            f"server-{len(self.excluded)}"
+        )
+
+
+class HomeTable:
+    def __init__(self, *found):
+        self.found = found
+
+    def homes_of(self, service):
+        return self.found
+
+    def find(self, service, zone):
+        return next((item for item in self.found if item.zone == zone), None)
+
+    def has_lease(self, home):
+        return True
+
+
+class Peers:
+    def __init__(self, *found, error=None):
+        self.found = found
+        self.error = error
+        self.forwarded = []
+
+    def homes_of(self, service):
+        return self.found
+
+    async def forward(self, call, home):
+        self.forwarded.append(home.peer_id)
+        if self.error is not None:
+            error, self.error = self.error, None
+            raise error
+        return OK
+
+
+class Attempt:
+    def __init__(self, address, error):
+        self.address = address
+        self.error = error
+
+    async def start(self, may_send):
+        assert may_send()
+
+    async def wait_readable(self, *, deadline):
+        return True
+
+    async def finish(self):
+        if self.error is not None:
+            raise self.error
+        return OK
+
+
+class Sender:
+    """Makes attempts that fail with the given errors, then succeed."""
+
+    def __init__(self, *failures):
+        self.failures = list(failures)
+        self.count = 0
+
+    def prepare(self, call, *, assignment, dispatcher):
+        self.count += 1
+        error = self.failures.pop(0) if self.failures else None
+        return Attempt(assignment.address, error)
+
+
+def build(found=(), peers=None, sender=None):
+    return router.Router(
+        home_table=HomeTable(*found),
+        peers=peers or Peers(),
+        request_sender=sender or Sender(),
+        service_budgets=budgets.ServiceBudgets(),
+        metrics=core.MemoryMetrics(),
+    )
+
+
+def make_home(wait=0.0):
+    return homes.Home(service="s", zone="a", dispatcher=Dispatcher(wait))
+
+
+def make_call(*, idempotent=True, attempt=1, seconds=5.0):
+    return calls.Call(
+        id="1",
+        service=Service(),
+        request=http.Request(method=b"GET", target=b"/"),
+        deadline=time.monotonic() + seconds,
+        idempotent=idempotent,
+        attempt=attempt,
+    )
+
+
+def remote(peer_id, cost):
+    return router.RemoteHome(peer_id=peer_id, zone="b", cost=cost)
+
+
+def lost(run=core.RunMark.NOT_RUN):
+    return errors.ExchangeFailedError("x", cause="x", run=run)
+
+
+def test_free_local_home_is_used_without_a_hop():
+    """Guards against hops that cost more than they save."""
+    peers = Peers(remote("p", 0.0))
+    curio.run(build([make_home()], peers).route, make_call())
+    assert peers.forwarded == []
+
+
+def test_busy_home_overflows_to_a_home_that_is_faster():
+    """Guards against waiting while another zone has free slots."""
+    peers = Peers(remote("p", 0.008))
+    curio.run(build([make_home(wait=0.05)], peers).route, make_call())
+    assert peers.forwarded == ["p"]
+
+
+def test_refused_forward_waits_locally():
+    """Guards against calls that wander between busy homes."""
+    peers = Peers(remote("p", 0.008), error=errors.HomeBusyError("busy"))
+    home = make_home(wait=0.05)
+    answer = curio.run(build([home], peers).route, make_call())
+    assert answer is OK
+    assert len(home.dispatcher.excluded) == 1
+
+
+def test_call_of_a_peer_goes_no_further():
+    """Guards against loops between gateways."""
+    peers = Peers(remote("p", 0.0))
+    call = make_call()
+    call.zone = "a"
+    with pytest.raises(errors.NotHomeError):
+        curio.run(build([], peers).serve_peer, call)
+    assert peers.forwarded == []
+
+
+def test_retry_avoids_the_server_that_failed():
+    """Guards against a retry at the same server."""
+    home = make_home()
+    sender = Sender(lost())
+    curio.run(build([home], sender=sender).route, make_call())
+    assert home.dispatcher.excluded == [frozenset(), frozenset({"server-1"})]
+
+
+@pytest.mark.parametrize(
+    ("call", "error"),
+    [
+        (make_call(idempotent=False), lost(UNKNOWN)),
+        (make_call(attempt=2), lost()),
+        (make_call(), errors.QueueRefusedError(errors.CallError("full"))),
+    ],
+)
+def test_unsafe_or_repeated_calls_are_not_retried(call, error):
+    """Guards against doubled work and against retries of retries."""
+    sender = Sender(error)
+    with pytest.raises(type(error)):
+        curio.run(build([make_home()], sender=sender).route, call)
+    assert sender.count == 1
+
+
+def test_retries_end_with_the_budget():
+    """Guards against retry storms."""
+    sender = Sender(*[lost() for _ in range(50)])
+    with pytest.raises(errors.ExchangeFailedError):
+        curio.run(build([make_home()], sender=sender).route, make_call())
+    assert sender.count == 11
+
+
+def test_call_without_any_home_ends_at_its_deadline():
+    """Guards against calls that wait for ever for a home."""
+    with pytest.raises(errors.NoHomeError) as caught:
+        curio.run(build().route, make_call(seconds=0.2))
+    assert caught.value.run is core.RunMark.NOT_RUN
