gateway: probe servers without responses, within the measuring budget

Cause: probe_budget_per_s and hedge_ratio had no effect. A server that is down, or that a new holder knows nothing of, was tried with callers' requests only. Change: Prober sends GET /load to such servers, at most half of the budget per holder; with policy two_choices all servers are probed and the gateways share the budget. Hedges also need a token of their own budget.

--- a/libs/gateway/src/banyandale_gateway/_backends.py
+++ b/libs/gateway/src/banyandale_gateway/_backends.py
@@ -4,8 +4,12 @@
 speak otherwise need only another `BackendProtocol`.
 """
 
+from http import HTTPStatus
+from typing import Literal
 from typing import Protocol
 
+import pydantic
+
 import banyandale_dispatch as dispatch
 import banyandale_http as http
 
@@ -28,6 +32,15 @@
 }
 
 
+class _LoadPage(pydantic.BaseModel):
+    """The JSON of `GET /load`."""
+
+    boot: str
+    phase: Literal["cold", "warm", "leaving"]
+    in_flight: int = 0
+    slots: int = 0
+
+
 class BackendProtocol(Protocol):
     """What differs between kinds of backend servers."""
 
@@ -46,6 +59,12 @@
     ) -> dispatch.LoadReport | None:
         """Returns what the response says of the backend server, if any."""
 
+    def build_probe(self) -> http.Request:
+        """Returns the request that asks for a load report."""
+
+    def read_probe(self, response: http.Response) -> dispatch.LoadReport | None:
+        """Returns the load report in the response to a probe, if any."""
+
     def is_shed(self, head: http.ResponseHead) -> bool:
         """Whether the backend server says that it did not run the request."""
 
@@ -100,6 +119,25 @@
             slots=int(slots) if slots.isdigit() else 0,
         )
 
+    def build_probe(self) -> http.Request:
+        """Returns `GET /load`."""
+        return http.Request(method=b"GET", target=b"/load")
+
+    def read_probe(self, response: http.Response) -> dispatch.LoadReport | None:
+        """Reads the JSON of a load report; wrong ones are left out."""
+        if response.status != HTTPStatus.OK:
+            return None
+        try:
+            page = _LoadPage.model_validate_json(response.body)
+        except pydantic.ValidationError:
+            return None
+        return dispatch.LoadReport(
+            boot=page.boot,
+            phase=_PHASES[page.phase.encode()],
+            in_flight=page.in_flight,
+            slots=page.slots,
+        )
+
     def is_shed(self, head: http.ResponseHead) -> bool:
         """Whether this is a 503 with `Server-Shed: not-run`."""
         return head.status == _SHED_STATUS and (
--- a/libs/gateway/src/banyandale_gateway/_budgets.py
+++ b/libs/gateway/src/banyandale_gateway/_budgets.py
@@ -5,19 +5,26 @@
 
 
 class ServiceBudgets:
-    """Keeps one retry budget per service.
+    """Keeps the budgets of retries and of hedges for each service.
 
-    A change of the configured ratio starts a new budget.
+    A change of a configured ratio starts a new budget.
     """
 
     def __init__(self) -> None:
-        self._budgets: dict[str, tuple[float, retry.RetryBudget]] = {}
+        self._budgets: dict[tuple[str, str], tuple[float, retry.RetryBudget]]
+        self._budgets = {}
 
     def find(self, service: config.Service) -> retry.RetryBudget:
-        """Returns the budget of a service."""
-        entry = self._budgets.get(service.name)
-        if entry is None or entry[0] != service.retry_ratio:
-            budget = retry.RetryBudget(ratio=service.retry_ratio)
-            entry = (service.retry_ratio, budget)
-            self._budgets[service.name] = entry
+        """Returns the budget that all second attempts of a service share."""
+        return self._find("retry", service.name, service.retry_ratio)
+
+    def find_hedges(self, service: config.Service) -> retry.RetryBudget:
+        """Returns the budget that limits hedges further."""
+        return self._find("hedge", service.name, service.hedge_ratio)
+
+    def _find(self, kind: str, name: str, ratio: float) -> retry.RetryBudget:
+        entry = self._budgets.get((kind, name))
+        if entry is None or entry[0] != ratio:
+            entry = (ratio, retry.RetryBudget(ratio=ratio))
+            self._budgets[kind, name] = entry
         return entry[1]
--- a/libs/gateway/src/banyandale_gateway/_gateway.py
+++ b/libs/gateway/src/banyandale_gateway/_gateway.py
@@ -24,6 +24,7 @@
 from banyandale_gateway import _lookup as lookup
 from banyandale_gateway import _membership as membership
 from banyandale_gateway import _peers as peers
+from banyandale_gateway import _prober as prober
 from banyandale_gateway import _rates as rates
 from banyandale_gateway import _router as router
 from banyandale_gateway import _sender as sender
@@ -190,8 +191,16 @@
             own_homes=self._own_home_zones,
             snapshot=self._follower.current,
         )
+        protocol = backends.HeaderProtocol()
+        self._prober = prober.Prober(
+            home_table=self._homes,
+            protocol=protocol,
+            source=own.source,
+            metrics=self._metrics,
+            probe_all=own.policy == "two_choices",
+        )
         self._sender = sender.Sender(
-            protocol=backends.HeaderProtocol(),
+            protocol=protocol,
             source=own.source,
             clock=self._clock,
         )
@@ -305,6 +314,7 @@
             self._follower.run,
             self._ownership.run,
             self._vms.run,
+            self._prober.run,
             self._node.run,
             self._callers.run,
             self._refresh_all,
@@ -324,6 +334,7 @@
             addresses = self._membership.peer_addresses()
             await self._node.update_peers(addresses)
             self._limits.set_gateways(len(addresses) + 1)
+            self._prober.set_gateways(len(addresses) + 1)
             for state in self._node.peers():
                 if state.heartbeat is not None:
                     self._follower.announce(state.heartbeat.generation)
--- /dev/null
+++ b/libs/gateway/src/banyandale_gateway/_prober.py
@@ -0,0 +1,111 @@
+"""Asks backend servers for their load, within the measuring budget."""
+
+import time
+
+import curio
+
+import banyandale_config as config
+import banyandale_core as core
+import banyandale_dispatch as dispatch
+from banyandale_gateway import _backends as backends
+from banyandale_gateway import _homes as homes
+import banyandale_http as http
+
+TICK_SECONDS = 0.02
+PROBE_SECONDS = 0.5
+MAX_REPORT_BYTES = 4096
+# While a home moves, the old and the new holder may both probe a server for a
+# while. Each uses half of the budget, so that the sum stays within it.
+HOLDERS_AT_A_TIME = 2
+
+
+class Prober:
+    """Probes the servers of which no response tells enough.
+
+    A home learns the state of its servers from their responses, so it probes
+    only those that get no requests and are not known to be warm. A gateway
+    that dispatches for itself sees a part of the responses only, and probes
+    all servers; the gateways share the budget.
+    """
+
+    def __init__(
+        self,
+        *,
+        home_table: homes.HomeTable | homes.DirectTable,
+        protocol: backends.BackendProtocol,
+        source: str | None,
+        metrics: core.Metrics,
+        probe_all: bool,
+    ) -> None:
+        self._homes = home_table
+        self._protocol = protocol
+        self._source = source
+        self._metrics = metrics
+        self._probe_all = probe_all
+        self._sharers = HOLDERS_AT_A_TIME
+        self._due_at: dict[str, float] = {}
+
+    def set_gateways(self, count: int) -> None:
+        """Sets how many gateways probe the same servers."""
+        if self._probe_all:
+            self._sharers = max(count, 1)
+
+    async def run(self) -> None:
+        """Probes until cancelled."""
+        while True:
+            now = time.monotonic()
+            for home in self._homes.homes():
+                if home.built_from is not None:
+                    await self._probe_home(home, home.built_from[0], now)
+            await curio.sleep(TICK_SECONDS)
+
+    async def _probe_home(
+        self, home: homes.Home, service: config.Service, now: float
+    ) -> None:
+        if service.probe_budget_per_s <= 0:
+            return
+        interval = self._sharers / service.probe_budget_per_s
+        for state in home.dispatcher.list_states():
+            if not self._needs_probe(state):
+                continue
+            # A server that is new here waits a whole interval: the previous
+            # holder may have probed it just now.
+            due_at = self._due_at.setdefault(state.address, now + interval)
+            if now >= due_at:
+                self._due_at[state.address] = now + interval
+                await curio.spawn(self._probe, home, state, daemon=True)
+
+    def _needs_probe(self, state: dispatch.ServerState) -> bool:
+        if self._probe_all:
+            return True
+        return not state.in_flight and state.phase in (
+            dispatch.Phase.UNKNOWN,
+            dispatch.Phase.DOWN,
+        )
+
+    async def _probe(
+        self, home: homes.Home, state: dispatch.ServerState
+    ) -> None:
+        self._metrics.incr("probe.sent")
+        try:
+            response = await self._exchange(state.address)
+        except http.HttpError as error:
+            self._metrics.incr(f"probe.failed.{error.code}")
+            return
+        report = self._protocol.read_probe(response)
+        if report is not None:
+            home.dispatcher.observe(state.address, report)
+
+    async def _exchange(self, address: str) -> http.Response:
+        deadline = time.monotonic() + PROBE_SECONDS
+        connection = await http.ClientConnection.open(
+            address=address, source=self._source, deadline=deadline
+        )
+        try:
+            return await connection.exchange(
+                self._protocol.build_probe(),
+                limit=MAX_REPORT_BYTES,
+                deadline=deadline,
+            )
+        finally:
+            await connection.close()
--- a/libs/gateway/src/banyandale_gateway/_router.py
+++ b/libs/gateway/src/banyandale_gateway/_router.py
@@ -98,6 +98,7 @@
         """
         budget = self._budgets.find(call.service)
         budget.deposit()
+        self._budgets.find_hedges(call.service).deposit()
         progress = _Progress()
         while True:
             try:
@@ -257,7 +258,6 @@
     async def _start_hedge(
         self, call: calls.Call, home: homes.Home, first: sender.Attempt
     ) -> sender.Attempt | None:
-        budget = self._budgets.find(call.service)
         assignment = home.dispatcher.try_acquire(
             exclude=frozenset({first.address})
         )
@@ -266,7 +266,7 @@
         hedge = self._sender.prepare(
             call, assignment=assignment, dispatcher=home.dispatcher
         )
-        if not budget.try_spend():
+        if not self._may_hedge(call):
             await hedge.close()
             return None
         try:
@@ -279,6 +279,13 @@
         self._metrics.incr("hedge.sent")
         return hedge
 
+    def _may_hedge(self, call: calls.Call) -> bool:
+        hedges = self._budgets.find_hedges(call.service)
+        if not hedges.try_spend():
+            self._metrics.incr("hedge.denied")
+            return False
+        return self._budgets.find(call.service).try_spend()
+
     async def _finish_first(
         self, first: sender.Attempt, hedge: sender.Attempt
     ) -> calls.Answer:
--- a/libs/gateway/tests/test_router.py
+++ b/libs/gateway/tests/test_router.py
@@ -23,6 +23,7 @@
     name: str = "s"
     priority: int = 1
     retry_ratio: float = 0.0
+    hedge_ratio: float = 0.0
 
 
 class Times:
