--- a/libs/retry/src/banyandale_retry/__init__.py
+++ b/libs/retry/src/banyandale_retry/__init__.py
@@ -1,1 +1,11 @@
 """Backoff, retry budgets and hedge delays."""
+
+from banyandale_retry._budgets import hedge_delay
+from banyandale_retry._budgets import RetryBudget
+from banyandale_retry._budgets import RetryBudgetExhaustedError
+
+__all__ = [
+    "RetryBudget",
+    "RetryBudgetExhaustedError",
+    "hedge_delay",
+]
