lease: skip homes that the preferred gateway holds in a scan

Cause: a scan ran a coroutine for every home. Change: homes that the preferred gateway holds are skipped; the set of wanted homes is kept with the placement. A test covers a handover whose write got lost and whose receiver is gone; without the check of held homes in the new rule the state machine fails.

--- a/libs/lease/src/banyandale_lease/_ownership.py
+++ b/libs/lease/src/banyandale_lease/_ownership.py
@@ -282,15 +282,26 @@
             return True
         try:
             for key in wanted.homes:
-                if key[1] in wanted.zones_in:
+                if key[1] in wanted.zones_in and not self._is_settled(key):
                     await self._settle(key)
-            await self._drop_unwanted(wanted)
-            await self._collect(wanted)
+            await self._drop_unwanted()
+            await self._collect()
         except _ScanEndedError as error:
             self._metrics.incr(error.code)
             return False
         return True
 
+    def _is_settled(self, key: records.HomeKey) -> bool:
+        """Whether the preferred gateway has the home already."""
+        entry = self._view.homes.get(key)
+        preferred = self._placement.preferred(key)
+        if entry is None or entry.record is None or preferred is None:
+            return False
+        gateway = entry.record.gateway
+        if gateway != preferred.gateway:
+            return False
+        return gateway != self._keeper.gateway or key in self._held
+
     async def _settle(self, key: records.HomeKey) -> None:
         preferred = self._placement.preferred(key)
         if preferred is None:
@@ -439,10 +450,9 @@
             )
         return self._writer
 
-    async def _drop_unwanted(self, wanted: Wanted) -> None:
+    async def _drop_unwanted(self) -> None:
         """Deletes homes of this gateway that the configuration dropped."""
-        unwanted = set(self._held).difference(wanted.homes)
-        for key in sorted(unwanted):
+        for key in sorted(self._held.keys() - self._placement.homes):
             entry = self._view.homes.get(key)
             if entry is not None and self._is_mine(entry):
                 self._check_may_write()
@@ -457,7 +467,7 @@
         )
         self._view.remove_home(key)
 
-    async def _collect(self, wanted: Wanted) -> None:
+    async def _collect(self) -> None:
         """Clears what ended gateways left; only the first gateway does."""
         first = min((info.gateway for info in self._gateways), default=None)
         if first != self._keeper.gateway:
@@ -475,11 +485,9 @@
                 await self._delete(records.LEASE_KIND, gateway, lease.version)
             elif not revoked and age >= self._revoke_seconds:
                 await self._revoke(gateway, lease)
-        known = set(wanted.homes)
-        for key, entry in tuple(self._view.homes.items()):
-            if key in known or entry.record is None:
-                continue
-            if self._has_ended(entry.record):
+        for key in sorted(self._view.homes.keys() - self._placement.homes):
+            entry = self._view.homes[key]
+            if entry.record is not None and self._has_ended(entry.record):
                 await self._delete_home(key, entry)
 
     async def _delete(self, kind: str, name: str, version: int) -> None:
@@ -524,6 +532,7 @@
         candidates: tuple[records.GatewayInfo, ...],
     ) -> None:
         self.wanted = wanted
+        self.homes = frozenset(() if wanted is None else wanted.homes)
         self._candidates = candidates
         self._by_id = {info.gateway: info for info in candidates}
         self._all = {info.gateway: info.weight for info in candidates}
--- a/libs/lease/tests/test_ownership.py
+++ b/libs/lease/tests/test_ownership.py
@@ -423,8 +423,8 @@
         self._given_up.clear()
 
 
-def reload_during_handover(ownership_type):
-    """Reads all homes again while the write of a handover is on its way."""
+def start_handover(ownership_type):
+    """Leaves the write of a handover to the third gateway on its way."""
     world = World(lease.LeaseKeeper, ownership_type)
     world.live_for(5.0, [0, 1])
     (name,) = world.holders(("ledger", "z2"))
@@ -433,6 +433,11 @@
     receiver.finish("keeper")
     giver.finish("ownership", "late write")
     assert world.late
+    return world, giver, receiver
+
+
+def reload_during_handover(ownership_type):
+    world, giver, receiver = start_handover(ownership_type)
     giver.idle = False
     for _ in range(20):
         receiver.finish("keeper")
@@ -451,6 +456,20 @@
         reload_during_handover(ReclaimsByReading)
 
 
+def test_failed_handover_is_undone_when_the_receiver_is_gone():
+    """Guards against a home that its recorded holder does not hold."""
+    world, giver, receiver = start_handover(lease.Ownership)
+    assert world.holders(("ledger", "z2")) == []
+    receiver.release()
+    while receiver.tasks["leave"]:
+        receiver.step("leave", "ok")
+    giver.finish("ownership")
+    assert world.holders(("ledger", "z2")) == [giver.name]
+    world.deliver_late()
+    world.live_for(1.0, [0, 1])
+    assert world.holders(("ledger", "z2")) == [giver.name]
+
+
 def test_joining_gateway_receives_one_home_a_second_and_only_idle_ones():
     """Guards against a joining VM moving busy homes, or all at once."""
     world = World(lease.LeaseKeeper, lease.Ownership)
