--- a/libs/standins/src/banyandale_standins/_commands.py
+++ b/libs/standins/src/banyandale_standins/_commands.py
@@ -200,7 +200,7 @@
             flag=False,
             default="least_loaded",
         ),
-        option("logs", description="folder to keep logs in", flag=False),
+        option("logs", description="folder for logs, counters", flag=False),
     ]
 
     def handle(self) -> int:
@@ -228,6 +228,7 @@
                 return EXIT_FAILED
             finally:
                 statuses = running.stop()
+        self._keep_counters(report)
         return self._show(report, statuses)
 
     async def _run(self, running: system.System) -> demo.DemoReport:
@@ -239,6 +240,11 @@
             running=running, share=share, say=self.line
         ).run()
 
+    def _keep_counters(self, report: demo.DemoReport) -> None:
+        if self.option("logs"):
+            path = pathlib.Path(self.option("logs")) / "gateway-counters.json"
+            path.write_text(json.dumps(report.counters, indent=1) + "\n")
+
     def _show(self, report: demo.DemoReport, statuses: dict[str, int]) -> int:
         result = report.result
         rows = reports.build_rows(result, report.costs)
--- a/libs/standins/src/banyandale_standins/_demo.py
+++ b/libs/standins/src/banyandale_standins/_demo.py
@@ -40,6 +40,7 @@
         last_request_seconds: How long after the change that took the zone
             out its servers got the last new request; None if they got none.
         violations: Requirements that were not met.
+        counters: Sums of the gateways' counters at the end.
     """
 
     result: results.RunResult
@@ -47,6 +48,7 @@
     in_force_seconds: list[float]
     last_request_seconds: float | None
     violations: Sequence[str]
+    counters: dict[str, int]
 
 
 class Demo:
@@ -130,4 +132,5 @@
             in_force_seconds=self._in_force,
             last_request_seconds=self._last_request,
             violations=violations,
+            counters=self._readings[-1].gateways,
         )
