--- a/libs/standins/tests/test_main.py
+++ b/libs/standins/tests/test_main.py
@@ -3,6 +3,7 @@
 import dataclasses
 import json
 import pathlib
+import signal
 
 import curio
 import pytest
@@ -26,7 +27,7 @@
     running.start("server", ("http.server", "--bind=127.0.0.1", "0"))
     assert running.is_running("server")
     process = running._running["server"]
-    assert running.stop_all()["server"] != 0
+    assert running.stop_all()["server"] == -signal.SIGTERM
     assert process.returncode is not None
     assert running.names() == ()
 
