--- a/libs/gateway/src/banyandale_gateway/_backends.py
+++ b/libs/gateway/src/banyandale_gateway/_backends.py
@@ -4,8 +4,12 @@
 speak otherwise need only another `BackendProtocol`.
 """
 
+from http import HTTPStatus
+from typing import Literal
 from typing import Protocol
 
+import pydantic
+
 import banyandale_dispatch as dispatch
 import banyandale_http as http
 
@@ -18,7 +22,6 @@
 _LOAD = b"server-load"
 _SHED = b"server-shed"
 _SHED_STATUS = 503
-_LOAD_PATH = b"/load"
 
 _OWN_HEADERS = frozenset({DEADLINE, ATTEMPT, REQUEST_ID})
 _SERVER_HEADERS = frozenset({_BOOT, _PHASE, _LOAD, _SHED, REQUEST_ID})
@@ -29,6 +32,15 @@
 }
 
 
+class _LoadPage(pydantic.BaseModel):
+    """The JSON of `GET /load`."""
+
+    boot: str
+    phase: Literal["cold", "warm", "leaving"]
+    in_flight: int = 0
+    slots: int = 0
+
+
 class BackendProtocol(Protocol):
     """What differs between kinds of backend servers."""
 
@@ -48,7 +60,10 @@
         """Returns what the response says of the backend server, if any."""
 
     def build_probe(self) -> http.Request:
-        """Returns a request that asks for nothing but a load report."""
+        """Returns the request that asks for a load report."""
+
+    def read_probe(self, response: http.Response) -> dispatch.LoadReport | None:
+        """Returns the load report in the response to a probe, if any."""
 
     def is_shed(self, head: http.ResponseHead) -> bool:
         """Whether the backend server says that it did not run the request."""
@@ -105,8 +120,23 @@
         )
 
     def build_probe(self) -> http.Request:
-        """Returns `GET /load`, whose response has the headers of a report."""
-        return http.Request(method=b"GET", target=_LOAD_PATH)
+        """Returns `GET /load`."""
+        return http.Request(method=b"GET", target=b"/load")
+
+    def read_probe(self, response: http.Response) -> dispatch.LoadReport | None:
+        """Reads the JSON of a load report; wrong ones are left out."""
+        if response.status != HTTPStatus.OK:
+            return None
+        try:
+            page = _LoadPage.model_validate_json(response.body)
+        except pydantic.ValidationError:
+            return None
+        return dispatch.LoadReport(
+            boot=page.boot,
+            phase=_PHASES[page.phase.encode()],
+            in_flight=page.in_flight,
+            slots=page.slots,
+        )
 
     def is_shed(self, head: http.ResponseHead) -> bool:
         """Whether this is a 503 with `Server-Shed: not-run`."""
--- a/libs/gateway/src/banyandale_gateway/_gateway.py
+++ b/libs/gateway/src/banyandale_gateway/_gateway.py
@@ -24,7 +24,7 @@
 from banyandale_gateway import _lookup as lookup
 from banyandale_gateway import _membership as membership
 from banyandale_gateway import _peers as peers
-from banyandale_gateway import _probes as probes
+from banyandale_gateway import _prober as prober
 from banyandale_gateway import _rates as rates
 from banyandale_gateway import _router as router
 from banyandale_gateway import _sender as sender
@@ -179,6 +179,7 @@
                 ownership=self._ownership,
                 build_dispatcher=self._build_dispatcher,
                 vms=self._vms,
+                clock=self._clock,
                 metrics=self._metrics,
             )
         else:
@@ -193,17 +194,18 @@
             own_homes=self._own_home_zones,
             snapshot=self._follower.current,
         )
-        self._sender = sender.Sender(
-            protocol=backends.HeaderProtocol(),
+        protocol = backends.HeaderProtocol()
+        self._prober = prober.Prober(
+            home_table=self._homes,
+            protocol=protocol,
             source=own.source,
-            clock=self._clock,
+            metrics=self._metrics,
+            probe_all=own.policy == "two_choices",
         )
-        self._prober = probes.Prober(
-            home_table=self._homes,
-            request_sender=self._sender,
-            snapshot=self._follower.current,
+        self._sender = sender.Sender(
+            protocol=protocol,
+            source=own.source,
             clock=self._clock,
-            metrics=self._metrics,
         )
         self._router = router.Router(
             home_table=self._homes,
@@ -249,7 +251,7 @@
             cold_limit=service.cold_limit,
             cold_min_seconds=service.cold_min_ms / core.MILLISECONDS_PER_SECOND,
             limit_slots=is_home,
-            first_report_seconds=probes.FIRST_REPORT_SECONDS if is_home else 0,
+            first_report_seconds=prober.FIRST_REPORT_SECONDS if is_home else 0,
         )
 
     def describe(self) -> peer.Heartbeat:
@@ -317,14 +319,13 @@
             self._follower.run,
             self._ownership.run,
             self._vms.run,
+            self._prober.run,
             self._node.run,
             self._callers.run,
             self._refresh_all,
             self._announce_loads,
             self._flush_metrics,
         )
-        if self._own.routing is settings.Routing.HOME:
-            loops += (self._prober.run,)
         tasks = [await curio.spawn(loop, daemon=True) for loop in loops]
         logging.info("gateway %s started", self._own.gateway_id)
         await core.wait_for_signal(signal.SIGTERM, signal.SIGINT)
@@ -337,7 +338,9 @@
             self._refresh()
             addresses = self._membership.peer_addresses()
             await self._node.update_peers(addresses)
-            self._limits.set_gateways(len(self._node.peers()) + 1)
+            gateways = len(self._node.peers()) + 1
+            self._limits.set_gateways(gateways)
+            self._prober.set_gateways(gateways)
             for state in self._node.peers():
                 if state.heartbeat is not None:
                     self._follower.announce(state.heartbeat.generation)
--- a/libs/gateway/src/banyandale_gateway/_homes.py
+++ b/libs/gateway/src/banyandale_gateway/_homes.py
@@ -2,12 +2,15 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 from typing import Protocol
 
 import banyandale_config as config
 import banyandale_core as core
 import banyandale_dispatch as dispatch
 
+# A home that comes back within this time keeps what is known of its servers.
+WARM_SECONDS = 5.0
 # Zone of a dispatcher that serves all zones.
 ALL_ZONES = ""
 
@@ -61,8 +64,11 @@
         ownership: HomeOwnership,
         build_dispatcher: Callable[[config.Service], dispatch.Dispatcher],
         vms: LeavingVms,
+        clock: core.Clock,
         metrics: core.Metrics,
     ) -> None:
+        self._clock = clock
+        self._warm: dict[tuple[str, str], tuple[float, dict[str, str]]] = {}
         self._ownership = ownership
         self._build_dispatcher = build_dispatcher
         self._vms = vms
@@ -93,18 +99,22 @@
         configuration.
         """
         wanted = {}
-        for name, zone in self._ownership.held():
+        held = frozenset(self._ownership.held())
+        for name, zone in held:
             service = snapshot.find_service(name)
             if service is not None and snapshot.is_zone_in(zone):
                 wanted[name, zone] = service
         for key in self._homes.keys() - wanted.keys():
-            del self._homes[key]
-            self._metrics.incr("home.dropped")
+            # Servers that return to service with their zone count as cold.
+            self._drop(key, keep_warm=key not in held)
         for key, service in wanted.items():
             home = self._homes.get(key)
-            if home is None:
+            added = home is None
+            if added:
                 home = self._add(service, key[1])
             _update_home(home, service, snapshot, self._vms.leaving)
+            if added:
+                self._restore_warm(home)
         self._index()
 
     def _add(self, service: config.Service, zone: str) -> Home:
@@ -117,6 +127,29 @@
         self._metrics.incr("home.gained")
         return home
 
+    def _drop(self, key: tuple[str, str], *, keep_warm: bool) -> None:
+        home = self._homes.pop(key)
+        home.dispatcher.allow_cold = False
+        if keep_warm:
+            self._warm[key] = (
+                self._clock.monotonic(),
+                home.dispatcher.warm_boots(),
+            )
+        self._metrics.incr("home.dropped")
+
+    def _restore_warm(self, home: Home) -> None:
+        """Takes over what was known before a short loss of the home.
+
+        After an outage of the platform a gateway gets its homes back under a
+        new lease. Its connections to the servers show whether one of them
+        restarted meanwhile.
+        """
+        dropped_at, boots = self._warm.pop(
+            (home.service, home.zone), (-math.inf, {})
+        )
+        if self._clock.monotonic() - dropped_at <= WARM_SECONDS:
+            home.dispatcher.restore_warm(boots)
+
     def _index(self) -> None:
         by_service: dict[str, list[Home]] = {}
         for home in self._homes.values():
--- a/libs/gateway/src/banyandale_gateway/_router.py
+++ b/libs/gateway/src/banyandale_gateway/_router.py
@@ -27,8 +27,6 @@
 OVERFLOW_MARGIN_SECONDS = 0.001
 
 
-# Earlier hedges would cost more than the time they save.
-MIN_HEDGE_SECONDS = 0.005
 # Stands for this gateway where gateways are named.
 LOCAL = ""
 
@@ -98,6 +96,7 @@
         """
         budget = self._budgets.find(call.service)
         budget.deposit()
+        self._budgets.find_hedges(call.service).deposit()
         progress = _Progress()
         while True:
             try:
@@ -242,8 +241,8 @@
         self, call: calls.Call, home: homes.Home, attempt: sender.Attempt
     ) -> calls.Answer:
         """Finishes an attempt; sends a second one when it takes long."""
-        hedge_at = time.monotonic() + max(
-            home.dispatcher.times.p95, MIN_HEDGE_SECONDS
+        hedge_at = time.monotonic() + retry.hedge_delay(
+            home.dispatcher.times.p95
         )
         if hedge_at >= call.deadline:
             return await attempt.finish()
@@ -257,7 +256,6 @@
     async def _start_hedge(
         self, call: calls.Call, home: homes.Home, first: sender.Attempt
     ) -> sender.Attempt | None:
-        budget = self._budgets.find(call.service)
         assignment = home.dispatcher.try_acquire(
             exclude=frozenset({first.address})
         )
@@ -266,7 +264,7 @@
         hedge = self._sender.prepare(
             call, assignment=assignment, dispatcher=home.dispatcher
         )
-        if not budget.try_spend():
+        if not self._may_hedge(call):
             await hedge.close()
             return None
         try:
@@ -279,6 +277,13 @@
         self._metrics.incr("hedge.sent")
         return hedge
 
+    def _may_hedge(self, call: calls.Call) -> bool:
+        hedges = self._budgets.find_hedges(call.service)
+        if not hedges.try_spend():
+            self._metrics.incr("hedge.denied")
+            return False
+        return self._budgets.find(call.service).try_spend()
+
     async def _finish_first(
         self, first: sender.Attempt, hedge: sender.Attempt
     ) -> calls.Answer:
--- a/libs/peer/tests/test_node.py
+++ b/libs/peer/tests/test_node.py
@@ -207,6 +207,25 @@
     curio.run(main)
 
 
+def test_unread_answer_ends_at_the_deadline():
+    """Guards against half a frame after which the dialer waits on."""
+
+    async def handler(request):
+        return peer.CallAnswer(status=200, body=b"x" * 30_000_000)
+
+    async def main():
+        async with linked_nodes(handler=handler) as (first, second):
+            request = make_request(deadline=soon(0.3))
+            answer = await first.call("b", request)
+            await wait_until(lambda: not second._servers)
+            with pytest.raises(peer.PeerError) as caught:
+                while await answer.chunks.read():
+                    pass
+            assert caught.value.run is core.RunMark.UNKNOWN
+
+    curio.run(main)
+
+
 def test_broken_body_is_no_complete_answer():
     """Guards against a truncated body that ends like a whole one."""
 
@@ -217,7 +236,8 @@
         async def read(self):
             if self.pieces:
                 return self.pieces.pop()
-            raise RuntimeError
+            # A mark that must not reach the caller: the call has run.
+            raise peer.PeerUnreachableError("broken")
 
         async def close(self):
             pass
@@ -310,6 +330,76 @@
     curio.run(main)
 
 
+def test_load_that_returns_to_its_old_value_is_sent(monkeypatch):
+    """Guards against a short heartbeat that leaves a load report in place."""
+    monkeypatch.setattr(control, "HEARTBEAT_SECONDS", 0.1)
+    monkeypatch.setattr(control, "LOAD_REPORT_SECONDS", 0.0)
+
+    async def main():
+        async with linked_nodes(handler=echo) as (first, second):
+            homes = second.state.homes
+
+            def has_homes(expected):
+                heartbeat = first.peers()[0].heartbeat
+                return heartbeat is not None and heartbeat.homes == expected
+
+            await wait_until(lambda: has_homes(homes))
+            busy = peer.HomeReport(
+                service="catalogue", zone="a", free_slots=0, wait=1.0
+            )
+            second.state.homes = (busy,)
+            await second.announce()
+            await wait_until(lambda: has_homes((busy,)))
+            second.state.homes = homes
+            await wait_until(lambda: has_homes(homes))
+            # Without an announcement the next heartbeat carries it.
+            second.state.homes = (busy,)
+            await wait_until(lambda: has_homes((busy,)))
+
+    curio.run(main)
+
+
+def test_stop_lets_calls_finish():
+    """Guards against a planned shutdown that interrupts a request."""
+
+    async def handler(request):
+        await curio.sleep(0.2)
+        return peer.CallAnswer(status=200)
+
+    async def main():
+        async with linked_nodes(handler=handler) as (first, second):
+            call = await curio.spawn(first.call, "b", make_request())
+            await curio.sleep(0.1)
+            await second.stop(deadline=soon())
+            assert (await call.join()).status == 200
+            with pytest.raises(peer.PeerUnreachableError):
+                await first.call("b", make_request())
+
+    curio.run(main)
+
+
+def test_calls_go_to_the_changed_address():
+    """Guards against links to the address of a replaced VM."""
+
+    async def main():
+        async with linked_nodes(handler=echo) as (first, second):
+            await first.call("b", make_request())
+            await second.stop()
+            again = make_node("b")
+            again.on_call(echo)
+            moved = [peer.PeerAddress(gateway_id="b", address=again.listen())]
+            task = await curio.spawn(again.run, daemon=True)
+            await first.update_peers(moved)
+            assert (await first.call("b", make_request())).status == 201
+            await first.update_peers([])
+            with pytest.raises(peer.UnknownPeerError):
+                await first.call("b", make_request())
+            await again.stop()
+            await task.join()
+
+    curio.run(main)
+
+
 def test_requests_run_side_by_side_and_fail_with_their_code():
     """Guards against a slow request that blocks the others of a link."""
 
