--- a/libs/peer/src/banyandale_peer/_control.py
+++ b/libs/peer/src/banyandale_peer/_control.py
@@ -213,12 +213,32 @@
         """Ends the link."""
         await self._closing.set()
 
-    async def announce(self) -> None:
-        """Sends a load report soon if loads have changed enough."""
-        if not self._announced and not self._outgoing.full():
+    async def announce(self, homes: tuple[messages.HomeReport, ...]) -> None:
+        """Sends a load report soon if loads have changed enough.
+
+        Waking the sender costs more than this check, and few peers have
+        homes of the same services.
+        """
+        if self._announced or self._outgoing.full():
+            return
+        if self._find_changes(homes):
             self._announced = True
             await self._outgoing.put(_WAKE)
 
+    def _find_changes(
+        self, homes: tuple[messages.HomeReport, ...]
+    ) -> tuple[messages.HomeReport, ...]:
+        """Returns the loads that the peer needs to know now."""
+        if self._peer.heartbeat is None:
+            return ()
+        interested = {home.service for home in self._peer.heartbeat.homes}
+        return tuple(
+            home
+            for home in homes
+            if home.service in interested
+            and has_changed(self._reported.get((home.service, home.zone)), home)
+        )
+
     async def request(
         self, kind: str, payload: bytes, *, deadline: float
     ) -> bytes:
@@ -331,21 +351,17 @@
         return int(now * messages.MICROSECONDS_PER_SECOND)
 
     async def _send_load_change(self) -> None:
-        if self._peer.heartbeat is None:
+        changed = self._find_changes(self._state.describe().homes)
+        if not changed:
             return
-        interested = {home.service for home in self._peer.heartbeat.homes}
-        changed = []
-        for home in self._state.describe().homes:
-            key = (home.service, home.zone)
-            if home.service in interested and has_changed(
-                self._reported.get(key), home
-            ):
-                changed.append(home)
-                self._reported[key] = home
-        if changed:
-            self._last_sent = None
-            change = messages.LoadChange(homes=tuple(changed))
-            await self._send(messages.encode_load_change(change))
+        for home in changed:
+            self._reported[home.service, home.zone] = home
+        if self._last_sent is not None:
+            self._last_sent = dataclasses.replace(
+                self._last_sent, homes=tuple(self._reported.values())
+            )
+        change = messages.LoadChange(homes=changed)
+        await self._send(messages.encode_load_change(change))
 
     async def _receive_all(self) -> None:
         silent_at = time.monotonic() + SILENCE_SECONDS
--- a/libs/peer/src/banyandale_peer/_node.py
+++ b/libs/peer/src/banyandale_peer/_node.py
@@ -271,9 +271,12 @@
         Call it when a load may have changed; small changes are not sent and
         each peer gets at most one report per 50 ms.
         """
+        homes = self._state.describe().homes
+        if not homes:
+            return
         for record in tuple(self._records.values()):
             if record.link is not None:
-                await record.link.announce()
+                await record.link.announce(homes)
 
     async def call(
         self, peer_id: str, request: messages.CallRequest
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -30,7 +30,7 @@
         cluster.kill(home)
         for _ in range(40):
             response = await cluster.call(other, "catalogue")
-            assert response.status == 200
+            assert response.status == 200, response
             await curio.sleep(0.02)
 
         async def is_taken_over():
