Shorten pauses of the garbage collector in the gateway too

Cause: full collections stopped a process for up to 40 ms. Change: shorten_pauses moves from the stand-ins to banyandale_core; the gateway calls it once it is built.

--- a/libs/core/src/banyandale_core/__init__.py
+++ b/libs/core/src/banyandale_core/__init__.py
@@ -10,6 +10,7 @@
 from banyandale_core._metrics import MemoryMetrics
 from banyandale_core._metrics import Metrics
 from banyandale_core._metrics import StatsdMetrics
+from banyandale_core._pauses import shorten_pauses
 from banyandale_core._signals import wait_for_signal
 from banyandale_core._timeouts import timeout_at
 
@@ -24,6 +25,7 @@
     "SystemClock",
     "deadline_from_unix_ms",
     "deadline_to_unix_ms",
+    "shorten_pauses",
     "timeout_at",
     "wait_for_signal",
 ]
--- a/libs/standins/src/banyandale_standins/_timing.py
+++ b/libs/standins/src/banyandale_standins/_timing.py
@@ -1,6 +1,5 @@
-"""Timers finer than a millisecond for curio, and short pauses."""
+"""Timers finer than a millisecond for curio."""
 
-import gc
 import select
 import selectors
 
@@ -21,19 +20,3 @@
             select.select([self], [], [], timeout)
             timeout = 0
         return super().select(timeout)
-
-
-# Objects allocated between two collections, and collections of one
-# generation before the next older one is collected too.
-GC_THRESHOLDS = (20_000, 50, 100)
-
-
-def shorten_pauses() -> None:
-    """Keeps what exists now out of garbage collection, and collects less.
-
-    Full collections with the default settings stopped a server for up to
-    40 ms, since they visit all modules.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
