tests: count load of backend servers in cold start

Cause: no test with real processes counted what a server in cold start receives when it restarts, when its home changes or when the platform is down. Change: the backend stand-in records each request above the limit of a cold server, with the time since its first sign of the cold start, and the most requests held while cold. tests/test_cold_start.py compares them with the limit. Effect-Id names a request in the record of effects.

--- a/libs/standins/src/banyandale_standins/_backend.py
+++ b/libs/standins/src/banyandale_standins/_backend.py
@@ -33,6 +33,7 @@
 LEAVING_GRACE_SECONDS = 3.0
 # Effects that are remembered by each server, to find the doubled ones.
 MAX_EFFECTS = 200_000
+MAX_OVERRUNS = 1000
 IDEMPOTENT_METHODS = frozenset({b"GET", b"HEAD", b"PUT", b"DELETE"})
 
 
@@ -236,8 +237,11 @@
     Attributes:
         settings: Its settings.
         counters: Counts since the start of the process.
-        effects: How often the work behind each idempotency key (or request
-            id, where there is no key) was started.
+        effects: How often the work behind each request of a method that is
+            not idempotent was started; by its Effect-Id header, else its
+            idempotency key, else its request id.
+        overruns: The last requests above the limit of a cold server.
+        max_cold_in_flight: Most requests held at once while cold.
     """
 
     def __init__(
@@ -253,6 +257,11 @@
         self.counters: collections.Counter[str] = collections.Counter()
         self.effects: collections.Counter[str] = collections.Counter()
         self.last_request_at = 0.0
+        self.overruns: collections.deque[dict[str, object]] = collections.deque(
+            maxlen=MAX_OVERRUNS
+        )
+        self.max_cold_in_flight = 0
+        self._signalled_at: float | None = None
         self._world = world
         self._bodies = prepared
         self._neighbours = neighbours
@@ -282,6 +291,7 @@
         self.boot = f"{self._rng.getrandbits(48):012x}-{self._boots}"
         self._phase = "cold"
         self._booted_at = time.monotonic()
+        self._signalled_at = None
         self._completed = 0
         self._slots = _Slots(
             count=self.settings.slots, queue=self.settings.queue
@@ -425,6 +435,9 @@
             slots.in_flight() >= self._world.cold.limit
         ):
             await self._fail(link)
+        if self.phase == "cold":
+            in_flight = slots.in_flight() + 1
+            self.max_cold_in_flight = max(self.max_cold_in_flight, in_flight)
         deadline = self._read_deadline(request)
         if not await slots.take(link, deadline):
             is_late = time.monotonic() >= deadline
@@ -455,6 +468,15 @@
     async def _fail(self, link: _Link) -> None:
         """Fails as a cold server does that gets more than it can hold."""
         self.counters["cold_overruns"] += 1
+        now = time.time()
+        signalled = self._signalled_at
+        self.overruns.append(
+            {
+                "at": now,
+                "boot": self.boot,
+                "signal_age": None if signalled is None else now - signalled,
+            }
+        )
         self._start_cold()
         await self._reset_links(besides=link)
         raise _ServerFailedError
@@ -484,8 +506,12 @@
         if len(self.effects) >= MAX_EFFECTS:
             self.counters["unrecorded_effects"] += 1
             return
-        key = request.header(b"idempotency-key")
-        name = key or request.header(b"request-id") or b"unnamed"
+        name = (
+            request.header(b"effect-id")
+            or request.header(b"idempotency-key")
+            or request.header(b"request-id")
+            or b"unnamed"
+        )
         self.effects[name.decode("latin-1")] += 1
 
     def _draw_end(self) -> float:
@@ -511,6 +537,8 @@
     async def _send(self, link: _Link, response: http.Response) -> bool:
         """Sends a response; returns whether the connection stays open."""
         previous, self._previous = self._previous, response
+        if self._signalled_at is None:
+            self._signalled_at = time.time()
         fault = self._fault
         if fault == "none" or self._rng.random() >= self._fault_ratio:
             await link.http.send_response(response)
@@ -568,6 +596,8 @@
             "in_flight": self._slots.in_flight(),
             "open_connections": len(self._links),
             "last_request_at": self.last_request_at,
+            "overruns": list(self.overruns),
+            "max_cold_in_flight": self.max_cold_in_flight,
             "counters": dict(self.counters),
         }
 
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -1,5 +1,6 @@
 """A small deployment as real processes, for tests of failures."""
 
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Collection
@@ -26,6 +27,8 @@
 
 CALL_SECONDS = 5.0
 POLL_SECONDS = 0.05
+# A refused caller waits, so that refusals do not use up the machine.
+REFUSED_PAUSE_SECONDS = 0.02
 MAX_BODY_BYTES = 4 << 20
 # A moderate load, as a share of the capacity of all servers.
 LOAD_SHARE = 0.3
@@ -198,6 +201,24 @@
         address = self.system.deployment.platform_address()
         await standins.call_admin(address, "PUT", "/v1/vms", {"vms": vms})
 
+    async def cold_overruns(self) -> list[dict[str, Any]]:
+        """Returns the requests above the limit of a cold server."""
+        return [
+            {"address": server["address"], **overrun}
+            for zone in self.system.deployment.zones
+            for server in await self.system.read_servers(zone)
+            for overrun in server["overruns"]
+        ]
+
+    async def change_link(self, zone: str, state: str) -> None:
+        """Changes the peer links of a zone, see `standins.LinkChange`."""
+        await standins.call_admin(
+            self.system.deployment.relay_admin(),
+            "PUT",
+            "/links",
+            {"zone": zone, "state": state},
+        )
+
     def start_load(self, *, seconds: float, retries: int = 0) -> float:
         """Starts a steady load from all zones; returns its Unix start."""
         phases = (standins.PhaseSettings(name=LOAD_PHASE, seconds=seconds),)
@@ -265,6 +286,101 @@
             system.processes.kill(name)
 
 
+@dataclasses.dataclass(kw_only=True)
+class Refusal:
+    """What became of one call that brought no response of a server."""
+
+    name: str
+    status: int | None
+    run: str | None
+    reason: str | None
+
+
+class Callers:
+    """Callers in a closed loop: each sends its next call after the last.
+
+    Attributes:
+        served: Names of the calls that got a response of a server.
+        refusals: The other calls; without a status those that got no
+            complete response.
+    """
+
+    def __init__(
+        self,
+        cluster: Cluster,
+        service: str,
+        *,
+        gateways: Collection[standins.GatewayPlan],
+        count: int = 6,
+        method: bytes = b"POST",
+        headers: http.Headers = (),
+        seconds: float = CALL_SECONDS,
+    ) -> None:
+        self.served: list[str] = []
+        self.refusals: list[Refusal] = []
+        self._cluster = cluster
+        self._service = service
+        self._gateways = tuple(gateways)
+        self._count = count
+        self._method = method
+        self._headers = headers
+        self._seconds = seconds
+        self._tasks: list[curio.Task] = []
+        self._stopping = False
+
+    async def start(self) -> None:
+        """Starts all callers, spread over the gateways."""
+        for number in range(self._count):
+            gateway = self._gateways[number % len(self._gateways)]
+            self._tasks.append(await curio.spawn(self._run, gateway, number))
+
+    async def stop(self) -> None:
+        """Waits for the last call of each caller."""
+        self._stopping = True
+        for task in self._tasks:
+            await task.join()
+
+    async def _run(self, gateway: standins.GatewayPlan, number: int) -> None:
+        calls = itertools.count()
+        while not self._stopping:
+            name = f"caller-{number}-{next(calls)}"
+            await self._call(gateway, name)
+
+    async def _call(self, gateway: standins.GatewayPlan, name: str) -> None:
+        try:
+            response = await self._cluster.call(
+                gateway,
+                self._service,
+                method=self._method,
+                headers=((b"effect-id", name.encode()), *self._headers),
+                seconds=self._seconds,
+            )
+        except http.HttpError:
+            self.refusals.append(
+                Refusal(name=name, status=None, run=None, reason=None)
+            )
+            await curio.sleep(POLL_SECONDS)
+            return
+        if response.header(b"banyandale-run") is None:
+            self.served.append(name)
+            return
+        run_mark, reason = read_reason(response)
+        self.refusals.append(
+            Refusal(
+                name=name, status=response.status, run=run_mark, reason=reason
+            )
+        )
+        await curio.sleep(REFUSED_PAUSE_SECONDS)
+
+    def count_reasons(self) -> dict[tuple[str | None, str | None], int]:
+        """Returns the refusals by run mark and reason."""
+        return dict(
+            collections.Counter(
+                (item.run, item.reason) for item in self.refusals
+            )
+        )
+
+
 async def sleep_until(unix: float) -> None:
     """Sleeps until a time in Unix seconds."""
     await curio.sleep(max(unix - time.time(), 0.0))
--- /dev/null
+++ b/tests/test_cold_start.py
@@ -0,0 +1,229 @@
+"""Load of backend servers in cold start, with real processes."""
+
+import dataclasses
+
+import curio
+import pytest
+
+import banyandale_standins as standins
+import cluster as clusters
+
+SERVICE = "catalogue"
+ZONE = "a"
+COLD_LIMIT = 1
+# A request that was sent before the server's first sign of its cold start
+# reached the gateway may still arrive for this long.
+IN_FLIGHT_SECONDS = 0.25
+# Long enough for many requests to a cold server.
+COLD_SECONDS = 2.0
+# From a killed or paused holder to its successor, see the lease's duration.
+TAKEOVER_SECONDS = 4.0
+
+# Servers stay cold for a fixed time, and are slow enough to be overrun.
+DEPLOYMENT = dataclasses.replace(
+    clusters.DEPLOYMENT,
+    cold=standins.ColdSettings(
+        limit=COLD_LIMIT,
+        factor=3.0,
+        warm_requests=1_000_000,
+        warm_ms=COLD_SECONDS * 1000,
+    ),
+)
+
+
+def run(tmp_path, scenario):
+    clusters.run(tmp_path, scenario, deployment=DEPLOYMENT)
+
+
+async def wait_warm(cluster):
+    async def is_warm():
+        states = await cluster.server_states()
+        return all(state["phase"] == "warm" for state in states.values())
+
+    await cluster.wait_for(is_warm)
+
+
+async def start_callers(cluster, *, count=12):
+    """Starts more callers than a zone has slots, at every gateway."""
+    callers = clusters.Callers(
+        cluster,
+        SERVICE,
+        gateways=cluster.system.gateways,
+        count=count,
+        method=b"GET",
+    )
+    await callers.start()
+    # The homes learn that the servers are warm.
+    await curio.sleep(0.5)
+    return callers
+
+
+async def check_limit(cluster, *, addresses=None, unseen=0):
+    """Checks the record of the servers.
+
+    Args:
+        cluster: The cluster.
+        addresses: Servers that must have been cold under load.
+        unseen: Requests above the limit that may have been sent before the
+            first sign of the cold start could be seen.
+    """
+    states = await cluster.server_states()
+    for address in addresses or ():
+        assert states[address]["max_cold_in_flight"] > 0, address
+    overruns = await cluster.cold_overruns()
+    print("overruns", overruns)
+    for overrun in overruns:
+        age = overrun["signal_age"]
+        assert age is None or age < IN_FLIGHT_SECONDS, overrun
+    assert len(overruns) <= unseen, overruns
+    for state in states.values():
+        assert state["max_cold_in_flight"] <= COLD_LIMIT, state
+
+
+@pytest.mark.parametrize("platform", ["up", "down"])
+@pytest.mark.parametrize("how", ["restart", "silently", "slow"])
+def test_server_that_turns_cold_gets_its_limit(tmp_path, how, platform):
+    """Guards against full load on a server that restarted without warning.
+
+    `restart` resets and refuses connections, which is seen before the next
+    request can be sent: no request may exceed the limit. `silently` changes
+    only the boot identity: the requests that fill the slots before the first
+    response of the new process are already under way, one above the limit
+    for each server; a record of the server shows that none came later.
+    `slow` is sudden slowness with the phase reported cold by a server that
+    is warm, so the stand-in cannot overrun; the gateway's own count is
+    compared with the limit.
+    """
+
+    async def scenario(cluster):
+        await wait_warm(cluster)
+        callers = await start_callers(cluster)
+        if platform == "down":
+            await cluster.set_platform_faults(down=True)
+            # The leases expire.
+            await curio.sleep(3.5)
+        address = cluster.servers(SERVICE, ZONE)[0]
+        if how == "slow":
+            await cluster.change_server(
+                address, slow_factor=10, claim_phase="cold"
+            )
+            # Requests sent before the first report end within a second.
+            await curio.sleep(1.0)
+            for _ in range(20):
+                states = await cluster.server_states()
+                assert states[address]["in_flight"] <= COLD_LIMIT
+                await curio.sleep(clusters.POLL_SECONDS)
+        elif how == "silently":
+            await cluster.change_server(address, cold=True)
+        else:
+            await cluster.change_server(address, refuse=True)
+            await curio.sleep(0.3)
+            await cluster.change_server(address, refuse=False)
+        if how != "slow":
+            await curio.sleep(COLD_SECONDS)
+        await callers.stop()
+        reached = how == "silently" or (how == "restart" and platform == "up")
+        await check_limit(
+            cluster,
+            addresses=(address,) if reached else None,
+            unseen=1 if how == "silently" else 0,
+        )
+
+    run(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("how", ["kill", "pause", "hand_over"])
+def test_change_of_home_keeps_the_limit(tmp_path, how):
+    """Guards against two homes that both load a server in cold start.
+
+    The server restarts while its home ends or is handed over, so that the
+    old holder may have a request there. A paused holder resumes after
+    another one has taken over, with callers that still wait for it.
+    """
+
+    async def scenario(cluster):
+        await wait_warm(cluster)
+        callers = await start_callers(cluster)
+        home = await cluster.find_home(SERVICE, ZONE)
+        addresses = cluster.servers(SERVICE, ZONE)
+        for address in addresses:
+            await cluster.change_server(address, refuse=True)
+            await cluster.change_server(address, refuse=False)
+        await curio.sleep(0.2)
+        if how == "kill":
+            cluster.kill(home)
+        elif how == "pause":
+            cluster.pause(home)
+        else:
+            cluster.system.processes.signal(home.name, clusters.signal.SIGTERM)
+        for _ in range(3):
+            await curio.sleep(TAKEOVER_SECONDS / 3)
+            for address in addresses:
+                await cluster.change_server(address, refuse=True)
+                await cluster.change_server(address, refuse=False)
+        if how == "pause":
+            cluster.resume(home)
+        await curio.sleep(1.0)
+        await callers.stop()
+        await check_limit(cluster, addresses=addresses)
+
+    run(tmp_path, scenario)
+
+
+def test_resumed_home_does_not_trust_what_it_knew(tmp_path):
+    """Guards against old knowledge of a paused holder.
+
+    While it was paused, the servers restarted without closing connections
+    and another gateway took its home over.
+    """
+
+    async def scenario(cluster):
+        await wait_warm(cluster)
+        home = await cluster.find_home(SERVICE, ZONE)
+        warm_up = await start_callers(cluster)
+        await warm_up.stop()
+        cluster.pause(home)
+        # These wait for the paused gateway; it finds them all at once.
+        callers = clusters.Callers(
+            cluster,
+            SERVICE,
+            gateways=(home,),
+            count=12,
+            method=b"GET",
+            seconds=10.0,
+        )
+        await callers.start()
+        await curio.sleep(TAKEOVER_SECONDS)
+        for address in cluster.servers(SERVICE, ZONE):
+            await cluster.change_server(address, cold=True)
+        cluster.resume(home)
+        await curio.sleep(1.0)
+        await callers.stop()
+        await check_limit(cluster)
+
+    run(tmp_path, scenario)
+
+
+def test_cancelled_request_counts_until_the_server_sees_it(tmp_path):
+    """Guards against a second request while a cold server still has the first.
+
+    The callers of all requests to cold servers go away early.
+    """
+
+    async def scenario(cluster):
+        for address in cluster.servers(SERVICE, ZONE):
+            await cluster.change_server(address, cold=True, slow_factor=20)
+        callers = clusters.Callers(
+            cluster,
+            SERVICE,
+            gateways=cluster.system.gateways,
+            count=12,
+            method=b"GET",
+            seconds=0.2,
+        )
+        await callers.start()
+        await curio.sleep(COLD_SECONDS)
+        await callers.stop()
+        await check_limit(cluster)
+
+    run(tmp_path, scenario)
