gateway: forget which servers are warm after a pause

Cause: a holder that was stopped past its lease kept its servers WARM. When it resumed, the calls that had waited for it went to these servers at once, because a server known to be warm needs no lease. Meanwhile another gateway had taken the home over and the servers had restarted without closing connections. tests/test_cold_start.py saw one overrun at each of two servers. Ruled out: requests sent by the new holder (it starts with all servers UNKNOWN), and requests from before the pause (there were none). Change: the table of homes notices a gap of 2 s in its own activity, before the lease is asked, and marks all servers unverified. The lease is asked before the phase of the server. A pause below 2 s cannot hide a takeover, because that comes 3.5 s after the last renewal, which is sent every second. Conclusion: a resumed holder without a lease sends nothing on the strength of old knowledge.

--- a/libs/dispatch/src/banyandale_dispatch/_dispatcher.py
+++ b/libs/dispatch/src/banyandale_dispatch/_dispatcher.py
@@ -270,6 +270,11 @@
             state.phase = states.Phase.UNKNOWN
             state.epoch += 1
 
+    def mark_all_unverified(self) -> None:
+        """Takes note that any server may have restarted unnoticed."""
+        for address in self._servers:
+            self.mark_unverified(address)
+
     def is_current(self, assignment: states.Assignment) -> bool:
         """Whether an assigned request may still be sent.
 
--- a/libs/gateway/src/banyandale_gateway/_gateway.py
+++ b/libs/gateway/src/banyandale_gateway/_gateway.py
@@ -177,6 +177,7 @@
                 build_dispatcher=self._build_dispatcher,
                 vms=self._vms,
                 metrics=self._metrics,
+                clock=self._clock,
             )
         else:
             self._homes = homes.DirectTable(
--- a/libs/gateway/src/banyandale_gateway/_homes.py
+++ b/libs/gateway/src/banyandale_gateway/_homes.py
@@ -10,6 +10,9 @@
 
 # Zone of a dispatcher that serves all zones.
 ALL_ZONES = ""
+# A lease is renewed every second and can be taken over 3.5 s after its last
+# renewal, so that a shorter pause of this process hides no takeover.
+PAUSE_SECONDS = 2.0
 
 
 class HomeOwnership(Protocol):
@@ -53,6 +56,9 @@
     A home whose lease expired stays, but only for servers known to be warm,
     until another gateway is seen to hold it: while the platform is down
     nobody can take it over, and its callers still need service.
+
+    After a pause of this process another gateway may hold its homes, and
+    what it knew of their servers may be wrong. They count as unknown then.
     """
 
     def __init__(
@@ -62,11 +68,14 @@
         build_dispatcher: Callable[[config.Service], dispatch.Dispatcher],
         vms: LeavingVms,
         metrics: core.Metrics,
+        clock: core.Clock,
     ) -> None:
         self._ownership = ownership
         self._build_dispatcher = build_dispatcher
         self._vms = vms
         self._metrics = metrics
+        self._clock = clock
+        self._active_at = clock.monotonic()
         self._homes: dict[tuple[str, str], Home] = {}
         self._by_service: dict[str, tuple[Home, ...]] = {}
 
@@ -83,7 +92,11 @@
         return self._homes.get((service, zone))
 
     def has_lease(self, home: Home) -> bool:
-        """Whether the home is held under a valid lease at this moment."""
+        """Whether the home is held under a valid lease at this moment.
+
+        Ask this before `Dispatcher.is_warm`, since it notices a pause.
+        """
+        self._notice_pause()
         return self._ownership.holds(service=home.service, zone=home.zone)
 
     def refresh(self, snapshot: config.Snapshot) -> None:
@@ -92,6 +105,7 @@
         Its cost depends on the homes held here only, not on the size of the
         configuration.
         """
+        self._notice_pause()
         wanted = {}
         for name, zone in self._ownership.held():
             service = snapshot.find_service(name)
@@ -107,6 +121,18 @@
             _update_home(home, service, snapshot, self._vms.leaving)
         self._index()
 
+    def _notice_pause(self) -> None:
+        """Forgets which servers are warm when this process was paused.
+
+        Between pauses `refresh` calls this many times a second.
+        """
+        now = self._clock.monotonic()
+        if now - self._active_at > PAUSE_SECONDS:
+            self._metrics.incr("home.paused")
+            for home in self._homes.values():
+                home.dispatcher.mark_all_unverified()
+        self._active_at = now
+
     def _add(self, service: config.Service, zone: str) -> Home:
         home = Home(
             service=service.name,
--- a/libs/gateway/src/banyandale_gateway/_router.py
+++ b/libs/gateway/src/banyandale_gateway/_router.py
@@ -232,8 +232,8 @@
         self, home: homes.Home, attempt: sender.Attempt
     ) -> Callable[[], bool]:
         def may_send() -> bool:
-            return home.dispatcher.is_warm(attempt.address) or (
-                self._homes.has_lease(home)
+            return self._homes.has_lease(home) or (
+                home.dispatcher.is_warm(attempt.address)
             )
 
         return may_send
