gateway: trust a shed response only when it names the request

Cause: a shed response has the meaning that the request did not run, so the gateway repeats it at another server. A response without a request id was taken as the one to the request that was sent. A server that mixes up responses could so make a request run again: tests/test_refusals.py sent one POST, which three servers executed. Ruled out: the check of the id of responses, which works where there is one. Change: without its id a shed response has the mark unknown. The stand-in echoes the id in shed responses as in others. Conclusion: a backend server that sheds has to echo Request-Id, else its sheds of requests that are not idempotent are not repeated elsewhere.

--- a/libs/gateway/src/banyandale_gateway/_backends.py
+++ b/libs/gateway/src/banyandale_gateway/_backends.py
@@ -52,6 +52,9 @@
     def belongs_to(self, head: http.ResponseHead, request_id: str) -> bool:
         """Whether the response is the one to this request."""
 
+    def names_request(self, head: http.ResponseHead, request_id: str) -> bool:
+        """Whether the response says that it is the one to this request."""
+
     def strip_headers(self, headers: http.Headers) -> http.Headers:
         """Returns the response headers that the caller receives."""
 
@@ -111,6 +114,10 @@
         echoed = head.header(REQUEST_ID)
         return echoed is None or echoed == request_id.encode()
 
+    def names_request(self, head: http.ResponseHead, request_id: str) -> bool:
+        """Whether the sent request id is echoed."""
+        return head.header(REQUEST_ID) == request_id.encode()
+
     def strip_headers(self, headers: http.Headers) -> http.Headers:
         """Leaves out what concerns only the gateway."""
         return tuple(pair for pair in headers if pair[0] not in _SERVER_HEADERS)
--- a/libs/gateway/src/banyandale_gateway/_sender.py
+++ b/libs/gateway/src/banyandale_gateway/_sender.py
@@ -161,7 +161,12 @@
         body, complete = await self._read_first_part()
         if self._protocol.is_shed(head):
             await self._end(dispatch.OutcomeKind.SHED)
-            raise errors.ShedError(f"{self.address} shed the request")
+            # Without the id it may be the response to another request.
+            is_own = self._protocol.names_request(head, self._call.id)
+            raise errors.ShedError(
+                f"{self.address} shed the request",
+                run=core.RunMark.NOT_RUN if is_own else core.RunMark.UNKNOWN,
+            )
         head = http.ResponseHead(
             status=head.status,
             headers=self._protocol.strip_headers(head.headers),
--- a/libs/standins/src/banyandale_standins/_backend.py
+++ b/libs/standins/src/banyandale_standins/_backend.py
@@ -441,10 +441,11 @@
         deadline = self._read_deadline(request)
         if not await slots.take(link, deadline):
             is_late = time.monotonic() >= deadline
-            return self._shed("shed_deadline" if is_late else "shed_full")
+            reason = "shed_deadline" if is_late else "shed_full"
+            return self._shed(request, reason)
         try:
             if time.monotonic() >= deadline:
-                return self._shed("shed_deadline")
+                return self._shed(request, "shed_deadline")
             self._record(request)
             await link.wait_until(self._draw_end())
         except _CallerLeftError:
@@ -492,11 +493,15 @@
             return time.monotonic() + IDLE_SECONDS
         return core.deadline_from_unix_ms(int(value), core.SystemClock())
 
-    def _shed(self, counter: str) -> http.Response:
+    def _shed(self, request: http.Request, counter: str) -> http.Response:
         self.counters[counter] += 1
         return http.Response(
             status=503,
-            headers=((b"server-shed", b"not-run"), *self._make_headers()),
+            headers=(
+                (b"server-shed", b"not-run"),
+                *self._make_headers(),
+                *_echo_id(request),
+            ),
         )
 
     def _record(self, request: http.Request) -> None:
@@ -522,14 +527,12 @@
         return self._neighbours.find_end(start=time.monotonic(), work=work)
 
     def _make_response(self, request: http.Request) -> http.Response:
-        request_id = request.header(b"request-id")
-        echoed = () if request_id is None else ((b"request-id", request_id),)
         return http.Response(
             status=200,
             headers=(
                 (b"content-type", b"application/octet-stream"),
                 *self._make_headers(),
-                *echoed,
+                *_echo_id(request),
             ),
             body=self._bodies.make(request.target, self._rng),
         )
@@ -602,6 +605,11 @@
         }
 
 
+def _echo_id(request: http.Request) -> http.Headers:
+    request_id = request.header(b"request-id")
+    return () if request_id is None else ((b"request-id", request_id),)
+
+
 def _encode(response: http.Response) -> bytes:
     """Encodes a response without HTTP state, to send it wrongly."""
     lines = [b"HTTP/1.1 %d OK" % response.status]
