gateway: mark a call as not run only when no attempt may have run

Cause: the caller got the mark of the last attempt. When the first attempt of a repeatable request was executed and its response cut, and the second one was refused, the refusal said not run. The same held for a hedged request of which one attempt was shed. Ruled out: requests that are not idempotent, which are not repeated after an unknown outcome. Change: once an attempt has an unknown outcome, the error of the call has it.

--- a/libs/gateway/src/banyandale_gateway/_router.py
+++ b/libs/gateway/src/banyandale_gateway/_router.py
@@ -51,11 +51,29 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Progress:
-    """What a call has tried so far."""
+    """What a call has tried so far.
+
+    Attributes:
+        failed_servers: Servers at which an attempt failed.
+        refused_homes: Peer and zone of homes that refused the call.
+        reroutes: How often it moved on to another home.
+        may_have_run: Whether an attempt ended with an unknown outcome.
+    """
 
     failed_servers: set[str] = dataclasses.field(default_factory=set)
     refused_homes: set[tuple[str, str]] = dataclasses.field(default_factory=set)
     reroutes: int = 0
+    may_have_run: bool = False
+
+    def mark(self, error: errors.CallError) -> None:
+        """Makes the error of one attempt that of all attempts so far.
+
+        The last attempt may be known not to have run while an earlier one
+        has.
+        """
+        if self.may_have_run:
+            error.run = core.RunMark.UNKNOWN
+        self.may_have_run = error.run is core.RunMark.UNKNOWN
 
 
 class Peers(Protocol):
@@ -103,7 +121,9 @@
             try:
                 return await self._try_home(call, progress)
             except errors.CallError as error:
-                if not self._may_go_on(call, error, progress, budget):
+                may_go_on = self._may_go_on(call, error, progress, budget)
+                progress.mark(error)
+                if not may_go_on:
                     raise
 
     async def serve_peer(self, call: calls.Call) -> calls.Answer:
@@ -118,7 +138,12 @@
             raise errors.NotHomeError(
                 f"home of {call.service.name!r} in {call.zone!r} is not here"
             )
-        return await self._try_local(call, home, _Progress())
+        progress = _Progress()
+        try:
+            return await self._try_local(call, home, progress)
+        except errors.CallError as error:
+            progress.mark(error)
+            raise
 
     def _may_go_on(
         self,
@@ -222,7 +247,7 @@
         try:
             await attempt.start(self._build_guard(home, attempt))
             if call.idempotent and call.attempt == 1:
-                return await self._finish_hedged(call, home, attempt)
+                return await self._finish_hedged(call, home, attempt, progress)
             return await attempt.finish()
         except errors.AttemptError:
             progress.failed_servers.add(assignment.address)
@@ -239,7 +264,11 @@
         return may_send
 
     async def _finish_hedged(
-        self, call: calls.Call, home: homes.Home, attempt: sender.Attempt
+        self,
+        call: calls.Call,
+        home: homes.Home,
+        attempt: sender.Attempt,
+        progress: _Progress,
     ) -> calls.Answer:
         """Finishes an attempt; sends a second one when it takes long."""
         hedge_at = time.monotonic() + max(
@@ -249,13 +278,17 @@
             return await attempt.finish()
         if await attempt.wait_readable(deadline=hedge_at):
             return await attempt.finish()
-        hedge = await self._start_hedge(call, home, attempt)
+        hedge = await self._start_hedge(call, home, attempt, progress)
         if hedge is None:
             return await attempt.finish()
-        return await self._finish_first(attempt, hedge)
+        return await self._finish_first(attempt, hedge, progress)
 
     async def _start_hedge(
-        self, call: calls.Call, home: homes.Home, first: sender.Attempt
+        self,
+        call: calls.Call,
+        home: homes.Home,
+        first: sender.Attempt,
+        progress: _Progress,
     ) -> sender.Attempt | None:
         budget = self._budgets.find(call.service)
         assignment = home.dispatcher.try_acquire(
@@ -271,7 +304,8 @@
             return None
         try:
             await hedge.start(self._build_guard(home, hedge))
-        except errors.CallError:
+        except errors.CallError as error:
+            progress.mark(error)
             return None
         except BaseException:
             await first.close()
@@ -280,7 +314,10 @@
         return hedge
 
     async def _finish_first(
-        self, first: sender.Attempt, hedge: sender.Attempt
+        self,
+        first: sender.Attempt,
+        hedge: sender.Attempt,
+        progress: _Progress,
     ) -> calls.Answer:
         """Returns the first complete response and cancels the other."""
         winner: list[tuple[sender.Attempt, calls.Answer]] = []
@@ -291,6 +328,7 @@
             try:
                 answer = await attempt.finish()
             except errors.CallError as error:
+                progress.mark(error)
                 failure.append(error)
                 if len(failure) == 2:
                     await done.set()
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -315,6 +315,8 @@
         method: bytes = b"POST",
         headers: http.Headers = (),
         seconds: float = CALL_SECONDS,
+        deadline_ms: int | None = None,
+        label: str = "call",
     ) -> None:
         self.served: list[str] = []
         self.refusals: list[Refusal] = []
@@ -325,6 +327,8 @@
         self._method = method
         self._headers = headers
         self._seconds = seconds
+        self._deadline_ms = deadline_ms
+        self._label = label
         self._tasks: list[curio.Task] = []
         self._stopping = False
 
@@ -343,16 +347,23 @@
     async def _run(self, gateway: standins.GatewayPlan, number: int) -> None:
         calls = itertools.count()
         while not self._stopping:
-            name = f"caller-{number}-{next(calls)}"
+            name = f"{self._label}-{number}-{next(calls)}"
             await self._call(gateway, name)
 
+    def _build_headers(self, name: str) -> http.Headers:
+        headers = ((b"effect-id", name.encode()), *self._headers)
+        if self._deadline_ms is None:
+            return headers
+        deadline = int(time.time() * 1000) + self._deadline_ms
+        return (*headers, (b"request-deadline", str(deadline).encode()))
+
     async def _call(self, gateway: standins.GatewayPlan, name: str) -> None:
         try:
             response = await self._cluster.call(
                 gateway,
                 self._service,
                 method=self._method,
-                headers=((b"effect-id", name.encode()), *self._headers),
+                headers=self._build_headers(name),
                 seconds=self._seconds,
             )
         except http.HttpError:
