claims: let commits over the call budget wait

Cause: the gateway's budget of 25 platform writes a second counted as a failed store. All claims of the commit were refused, the shard refused more for the backoff, and its state was read again. Ruled out: conflicts between owners (none counted) and an unavailable store. Change: claims and outcomes of such a commit go back to the front of the queue and are tried again after 50 ms, together with what has arrived. Claims that a write with unknown outcome may have stored are released when they give up. The state is not read again, since nothing was sent. Conclusion: the budget makes groups larger instead of refusing claims.

--- a/libs/claims/src/banyandale_claims/_log.py
+++ b/libs/claims/src/banyandale_claims/_log.py
@@ -224,13 +224,19 @@
         if sealed:
             fields["sealed"] = True
         started_at = time.monotonic()
+        loaded_at = self.loaded_at
         self.invalidate()
-        stored = await self._writer.update(
-            kind=KIND,
-            name=f"{self._name}.{last.number}",
-            fields=fields,
-            version=last.version,
-        )
+        try:
+            stored = await self._writer.update(
+                kind=KIND,
+                name=f"{self._name}.{last.number}",
+                fields=fields,
+                version=last.version,
+            )
+        except platform.CallBudgetError:
+            # Nothing was sent, and reading again would cost more calls.
+            self.loaded_at = loaded_at
+            raise
         last.records = merged
         last.version = stored.version
         last.size = len(stored.value)
--- a/libs/claims/src/banyandale_claims/_store.py
+++ b/libs/claims/src/banyandale_claims/_store.py
@@ -38,6 +38,9 @@
 CLEAN_SECONDS = 60.0
 BACKOFF_BASE_SECONDS = 0.02
 BACKOFF_LIMIT_SECONDS = 0.5
+# A commit over the call budget is tried again after this time, with all that
+# has arrived meanwhile.
+BUDGET_WAIT_SECONDS = 0.05
 
 IsActive = Callable[[str, str], bool]
 
@@ -58,6 +61,8 @@
         self.identity = identity
         self.until_ms = until_ms
         self.queued_at = time.monotonic()
+        # Whether a write with it may have taken effect.
+        self.is_uncertain = False
         self.settled = curio.Event()
         self.decision: decisions.Decision | None = None
         self.error: errors.ClaimError | None = None
@@ -127,6 +132,7 @@
             rng=rng, base=BACKOFF_BASE_SECONDS, limit=BACKOFF_LIMIT_SECONDS
         )
         self._down_until = 0.0
+        self._budget_until = 0.0
         # Version at which a write with unknown outcome was sent.
         self._fence: int | None = None
         # Whether a write of the current commit may have taken effect.
@@ -164,6 +170,9 @@
         """Releases a key that its request will not use."""
         if claim in self._claims:
             self._claims.remove(claim)
+            if claim.is_uncertain:
+                self._queue_release(claim)
+                await self._wake.set()
         elif claim.decision in (None, decisions.Granted()):
             # A write with this claim is on its way or done.
             self._queue_release(claim)
@@ -224,7 +233,7 @@
                 wake_at = now
             elif self._outcomes:
                 wake_at = min(outcome.due_at for outcome in self._outcomes)
-            wake_at = max(wake_at, self._down_until)
+            wake_at = max(wake_at, self._down_until, self._budget_until)
             if wake_at <= now:
                 return wake_at < idle_at
             try:
@@ -241,6 +250,8 @@
         self._is_uncertain = False
         try:
             await self._write(claims, outcomes)
+        except platform.CallBudgetError:
+            self._postpone(claims, outcomes)
         except platform.PlatformError as error:
             await self._handle_failure(error, claims, outcomes)
         else:
@@ -292,6 +303,25 @@
             return
         raise platform.StoreUnavailableError("too many conflicts")
 
+    def _postpone(self, claims: list[_Claim], outcomes: list[_Outcome]) -> None:
+        """Puts a commit back that the call budget did not allow.
+
+        Claims that were written before in an unknown way are found by their
+        identity.
+        """
+        self._metrics.incr("claims_postponed")
+        now = time.monotonic()
+        self._budget_until = now + BUDGET_WAIT_SECONDS
+        self._outcomes.extendleft(reversed(outcomes))
+        for claim in claims:
+            claim.is_uncertain |= self._is_uncertain
+        self._claims.extendleft(
+            claim
+            for claim in reversed(claims)
+            # Later ones have given up and released their key.
+            if now < claim.queued_at + CLAIM_SECONDS
+        )
+
     async def _handle_failure(
         self,
         error: platform.PlatformError,
@@ -309,13 +339,14 @@
         ]
         self._outcomes.extendleft(reversed(kept))
         for claim in claims:
-            if self._is_uncertain:
+            if self._is_uncertain or claim.is_uncertain:
                 self._queue_release(claim)
             await claim.fail(errors.ClaimsUnavailableError(str(error)))
         while self._claims:
-            await self._claims.popleft().fail(
-                errors.ClaimsUnavailableError(str(error))
-            )
+            claim = self._claims.popleft()
+            if claim.is_uncertain:
+                self._queue_release(claim)
+            await claim.fail(errors.ClaimsUnavailableError(str(error)))
 
     def _plan(self, claims: list[_Claim], outcomes: list[_Outcome]) -> _Plan:
         plan = _Plan(changes={}, decided=[], retried=[])
--- a/libs/claims/tests/test_store.py
+++ b/libs/claims/tests/test_store.py
@@ -306,6 +306,60 @@
     curio.run(main)
 
 
+class OverBudgetStore(testing.MemoryStore):
+    """Refuses the next `refusals` updates."""
+
+    refusals = 0
+
+    async def update(self, **options):
+        if self.refusals:
+            self.refusals -= 1
+            raise platform.CallBudgetError("over the budget")
+        return await super().update(**options)
+
+
+def test_claims_over_the_call_budget_wait():
+    """Guards against refusals of claims that only have to wait a moment."""
+
+    async def main():
+        shared = OverBudgetStore()
+        store = make_store(shared)
+        assert await begin(store, "warm") == claims.Granted()
+        shared.refusals = 2
+        before = shared.counts["update.claim"]
+        shard = store.shard_of("warm")
+        keys = [
+            f"k{number}"
+            for number in range(100)
+            if store.shard_of(f"k{number}") == shard
+        ]
+        assert len(keys) > 1
+        tasks = [await curio.spawn(begin, store, key) for key in keys]
+        for task in tasks:
+            assert await task.join() == claims.Granted()
+        assert shared.refusals == 0
+        assert shared.counts["update.claim"] == before + 1
+
+    curio.run(main)
+
+
+def test_claim_that_waits_too_long_for_the_budget_is_released(monkeypatch):
+    """Guards against a key that stays claimed by a request that gave up."""
+    monkeypatch.setattr(store_module, "CLAIM_SECONDS", 0.12)
+
+    async def main():
+        shared = OverBudgetStore()
+        store = make_store(shared)
+        assert await begin(store, "warm") == claims.Granted()
+        shared.refusals = 6
+        with pytest.raises(claims.ClaimsUnavailableError):
+            await begin(store)
+        shared.refusals = 0
+        assert await begin(store) == claims.Granted()
+
+    curio.run(main)
+
+
 def test_conflict_with_another_owner_is_not_seen_by_the_caller():
     """Guards against refusals while two gateways own one shard."""
 
--- a/libs/standins/src/banyandale_standins/_backend.py
+++ b/libs/standins/src/banyandale_standins/_backend.py
@@ -238,8 +238,9 @@
         settings: Its settings.
         counters: Counts since the start of the process.
         effects: How often the work behind each request of a method that is
-            not idempotent was started; by its Effect-Id header, else its
-            idempotency key, else its request id.
+            not idempotent was started, by its idempotency key (or request
+            id, where there is no key) and by its Effect-Id header, which
+            tells the requests with one key apart.
         overruns: The last requests above the limit of a cold server.
         max_cold_in_flight: Most requests held at once while cold.
     """
@@ -511,13 +512,11 @@
         if len(self.effects) >= MAX_EFFECTS:
             self.counters["unrecorded_effects"] += 1
             return
-        name = (
-            request.header(b"effect-id")
-            or request.header(b"idempotency-key")
-            or request.header(b"request-id")
-            or b"unnamed"
-        )
+        key = request.header(b"idempotency-key")
+        name = key or request.header(b"request-id") or b"unnamed"
         self.effects[name.decode("latin-1")] += 1
+        if (effect_id := request.header(b"effect-id")) is not None:
+            self.effects[effect_id.decode("latin-1")] += 1
 
     def _draw_end(self) -> float:
         work = self._rng.lognormvariate(self._mu, self._sigma)
