--- a/libs/platform/src/banyandale_platform/_counting.py
+++ b/libs/platform/src/banyandale_platform/_counting.py
@@ -11,7 +11,7 @@
 from banyandale_platform import _protocols as protocols
 
 BURST_SECONDS = 2.0
-REQUIRED_KINDS = frozenset({"lease", "claim"})
+REQUIRED_KINDS = frozenset({"lease"})
 
 _T = TypeVar("_T")
 
@@ -61,7 +61,7 @@
     its kinds joined by `+`), and failures `platform_failed.<code>`. Calls
     over the budget fail with `CallBudgetError` and are not sent, except for
     the kinds of `required_kinds`: a refused lease renewal would stop a node
-    that works, and writes of claims keep to a rate of their own.
+    that works.
     """
 
     def __init__(
--- a/libs/standins/src/banyandale_standins/_backend.py
+++ b/libs/standins/src/banyandale_standins/_backend.py
@@ -33,6 +33,7 @@
 LEAVING_GRACE_SECONDS = 3.0
 # Effects that are remembered by each server, to find the doubled ones.
 MAX_EFFECTS = 200_000
+MAX_OVERRUNS = 1000
 IDEMPOTENT_METHODS = frozenset({b"GET", b"HEAD", b"PUT", b"DELETE"})
 
 
@@ -236,8 +237,12 @@
     Attributes:
         settings: Its settings.
         counters: Counts since the start of the process.
-        effects: How often the work behind each idempotency key (or request
-            id, where there is no key) was started.
+        effects: How often the work behind each request of a method that is
+            not idempotent was started, by its idempotency key (or request
+            id, where there is no key) and by its Effect-Id header, which
+            tells the requests with one key apart.
+        overruns: The last requests above the limit of a cold server.
+        max_cold_in_flight: Most requests held at once while cold.
     """
 
     def __init__(
@@ -253,6 +258,11 @@
         self.counters: collections.Counter[str] = collections.Counter()
         self.effects: collections.Counter[str] = collections.Counter()
         self.last_request_at = 0.0
+        self.overruns: collections.deque[dict[str, object]] = collections.deque(
+            maxlen=MAX_OVERRUNS
+        )
+        self.max_cold_in_flight = 0
+        self._signalled_at: float | None = None
         self._world = world
         self._bodies = prepared
         self._neighbours = neighbours
@@ -282,6 +292,7 @@
         self.boot = f"{self._rng.getrandbits(48):012x}-{self._boots}"
         self._phase = "cold"
         self._booted_at = time.monotonic()
+        self._signalled_at = None
         self._completed = 0
         self._slots = _Slots(
             count=self.settings.slots, queue=self.settings.queue
@@ -425,13 +436,17 @@
             slots.in_flight() >= self._world.cold.limit
         ):
             await self._fail(link)
+        if self.phase == "cold":
+            in_flight = slots.in_flight() + 1
+            self.max_cold_in_flight = max(self.max_cold_in_flight, in_flight)
         deadline = self._read_deadline(request)
         if not await slots.take(link, deadline):
             is_late = time.monotonic() >= deadline
-            return self._shed("shed_deadline" if is_late else "shed_full")
+            reason = "shed_deadline" if is_late else "shed_full"
+            return self._shed(request, reason)
         try:
             if time.monotonic() >= deadline:
-                return self._shed("shed_deadline")
+                return self._shed(request, "shed_deadline")
             self._record(request)
             await link.wait_until(self._draw_end())
         except _CallerLeftError:
@@ -455,6 +470,15 @@
     async def _fail(self, link: _Link) -> None:
         """Fails as a cold server does that gets more than it can hold."""
         self.counters["cold_overruns"] += 1
+        now = time.time()
+        signalled = self._signalled_at
+        self.overruns.append(
+            {
+                "at": now,
+                "boot": self.boot,
+                "signal_age": None if signalled is None else now - signalled,
+            }
+        )
         self._start_cold()
         await self._reset_links(besides=link)
         raise _ServerFailedError
@@ -470,11 +494,15 @@
             return time.monotonic() + IDLE_SECONDS
         return core.deadline_from_unix_ms(int(value), core.SystemClock())
 
-    def _shed(self, counter: str) -> http.Response:
+    def _shed(self, request: http.Request, counter: str) -> http.Response:
         self.counters[counter] += 1
         return http.Response(
             status=503,
-            headers=((b"server-shed", b"not-run"), *self._make_headers()),
+            headers=(
+                (b"server-shed", b"not-run"),
+                *self._make_headers(),
+                *_echo_id(request),
+            ),
         )
 
     def _record(self, request: http.Request) -> None:
@@ -487,6 +515,8 @@
         key = request.header(b"idempotency-key")
         name = key or request.header(b"request-id") or b"unnamed"
         self.effects[name.decode("latin-1")] += 1
+        if (effect_id := request.header(b"effect-id")) is not None:
+            self.effects[effect_id.decode("latin-1")] += 1
 
     def _draw_end(self) -> float:
         work = self._rng.lognormvariate(self._mu, self._sigma)
@@ -496,14 +526,12 @@
         return self._neighbours.find_end(start=time.monotonic(), work=work)
 
     def _make_response(self, request: http.Request) -> http.Response:
-        request_id = request.header(b"request-id")
-        echoed = () if request_id is None else ((b"request-id", request_id),)
         return http.Response(
             status=200,
             headers=(
                 (b"content-type", b"application/octet-stream"),
                 *self._make_headers(),
-                *echoed,
+                *_echo_id(request),
             ),
             body=self._bodies.make(request.target, self._rng),
         )
@@ -511,6 +539,8 @@
     async def _send(self, link: _Link, response: http.Response) -> bool:
         """Sends a response; returns whether the connection stays open."""
         previous, self._previous = self._previous, response
+        if self._signalled_at is None:
+            self._signalled_at = time.time()
         fault = self._fault
         if fault == "none" or self._rng.random() >= self._fault_ratio:
             await link.http.send_response(response)
@@ -568,10 +598,17 @@
             "in_flight": self._slots.in_flight(),
             "open_connections": len(self._links),
             "last_request_at": self.last_request_at,
+            "overruns": list(self.overruns),
+            "max_cold_in_flight": self.max_cold_in_flight,
             "counters": dict(self.counters),
         }
 
 
+def _echo_id(request: http.Request) -> http.Headers:
+    request_id = request.header(b"request-id")
+    return () if request_id is None else ((b"request-id", request_id),)
+
+
 def _encode(response: http.Response) -> bytes:
     """Encodes a response without HTTP state, to send it wrongly."""
     lines = [b"HTTP/1.1 %d OK" % response.status]
