gateway: verify servers again when a home comes back

Cause: the warm servers remembered for 5 s were used at full load at once, though another holder may have seen one of them restart without closing connections. Change: they are restored as unverified: one request at a time until the first report that is warm with the same boot identity.

--- a/libs/gateway/src/banyandale_gateway/_gateway.py
+++ b/libs/gateway/src/banyandale_gateway/_gateway.py
@@ -181,7 +181,6 @@
                 vms=self._vms,
                 clock=self._clock,
                 metrics=self._metrics,
-                clock=self._clock,
             )
         else:
             self._homes = homes.DirectTable(
--- a/libs/gateway/src/banyandale_gateway/_homes.py
+++ b/libs/gateway/src/banyandale_gateway/_homes.py
@@ -72,7 +72,6 @@
         vms: LeavingVms,
         clock: core.Clock,
         metrics: core.Metrics,
-        clock: core.Clock,
     ) -> None:
         self._clock = clock
         self._warm: dict[tuple[str, str], tuple[float, dict[str, str]]] = {}
@@ -80,7 +79,6 @@
         self._build_dispatcher = build_dispatcher
         self._vms = vms
         self._metrics = metrics
-        self._clock = clock
         self._active_at = clock.monotonic()
         self._homes: dict[tuple[str, str], Home] = {}
         self._by_service: dict[str, tuple[Home, ...]] = {}
@@ -167,14 +165,15 @@
         """Takes over what was known before a short loss of the home.
 
         After an outage of the platform a gateway gets its homes back under a
-        new lease. Its connections to the servers show whether one of them
-        restarted meanwhile.
+        new lease. A server is warm again with its first report that says so
+        with the same boot identity; another holder may have seen it restart.
         """
         dropped_at, boots = self._warm.pop(
             (home.service, home.zone), (-math.inf, {})
         )
         if self._clock.monotonic() - dropped_at <= WARM_SECONDS:
             home.dispatcher.restore_warm(boots)
+            home.dispatcher.mark_all_unverified()
 
     def _index(self) -> None:
         by_service: dict[str, list[Home]] = {}
--- a/libs/gateway/tests/test_homes.py
+++ b/libs/gateway/tests/test_homes.py
@@ -41,7 +41,7 @@
             "services": [
                 {
                     "name": "s",
-                    "cold_min_ms": 0,
+                    "cold_min_ms": 10_000,
                     "servers": [{"address": ADDRESS, "zone": "a"}],
                 }
             ],
@@ -60,7 +60,7 @@
         self.table = homes.HomeTable(
             ownership=self.ownership,
             build_dispatcher=lambda service: dispatch.Dispatcher(
-                clock=self.clock, cold_min_seconds=0.0
+                clock=self.clock
             ),
             vms=self.vms,
             clock=self.clock,
@@ -68,6 +68,8 @@
         )
         self.refresh()
         self.dispatcher.observe(ADDRESS, WARM)
+        self.clock.now += 10.0
+        self.refresh()
         self.dispatcher.observe(ADDRESS, WARM)
         assert self.is_warm()
 
@@ -84,7 +86,11 @@
 
 @pytest.mark.parametrize(("seconds", "warm"), [(1.0, True), (60.0, False)])
 def test_home_that_comes_back_soon_keeps_warm_servers(seconds, warm):
-    """Guards against a cold restart of all servers after a short outage."""
+    """Guards against a cold restart of all servers after a short outage.
+
+    Also guards against full load on a server before it has said that it is
+    still warm.
+    """
     table = Table()
     table.ownership.homes.clear()
     table.refresh()
@@ -92,6 +98,8 @@
     table.clock.now += seconds
     table.ownership.homes.add(("s", "a"))
     table.refresh()
+    assert not table.is_warm()
+    table.dispatcher.observe(ADDRESS, WARM)
     assert table.is_warm() is warm
 
 
