dispatch: keep a restored server's cold phase in the past

Cause: a restored server that had to be verified again started a new cold phase. Change: restore_warm sets the start of the cold phase before everything. Figures: test_home_that_comes_back_soon_keeps_warm_servers failed before and passes after.

--- a/libs/dispatch/src/banyandale_dispatch/_dispatcher.py
+++ b/libs/dispatch/src/banyandale_dispatch/_dispatcher.py
@@ -165,6 +165,8 @@
             if state is not None and state.phase is states.Phase.UNKNOWN:
                 state.phase = states.Phase.WARM
                 state.boot = boot
+                # Its cold phase ended before this dispatcher was made.
+                state.cold_since = -math.inf
         self._hand_out(self._clock.monotonic())
 
     async def acquire(
