--- a/libs/standins/src/banyandale_standins/_commands.py
+++ b/libs/standins/src/banyandale_standins/_commands.py
@@ -299,7 +299,8 @@
         option("docs", description="folder", flag=False, default="docs"),
         option(
             "what",
-            description="policies, or overhead (latency added by a gateway)",
+            description="policies, overhead (latency added by a gateway)"
+            " or slopes (cost of control)",
             flag=False,
             default="policies",
         ),
@@ -319,6 +320,7 @@
         measurements = {
             "policies": measure.measure_policies,
             "overhead": measure.measure_overhead,
+            "slopes": measure.measure_slopes,
         }
         stop_on_sigterm()
         try:
--- a/libs/standins/src/banyandale_standins/_measure.py
+++ b/libs/standins/src/banyandale_standins/_measure.py
@@ -26,6 +26,7 @@
 from banyandale_standins import _overhead as overhead
 from banyandale_standins import _reports as reports
 from banyandale_standins import _results as results
+from banyandale_standins import _slopes as slopes
 from banyandale_standins import _system as system
 
 VARIANTS = (
@@ -47,6 +48,7 @@
     load.PhaseSettings(name=OVERLOAD, seconds=8.0, factor=2.0 / BASE_SHARE),
 )
 MEASURED = (NORMAL, FULL, OVERLOAD)
+SLOPES = "slopes"
 OVERHEAD = "overhead"
 FIGURES = ("p50", "p99", "p999")
 
@@ -129,6 +131,22 @@
     write_page(docs)
 
 
+async def measure_slopes(
+    plan: Plan, docs: pathlib.Path, say: Callable[[str], None]
+) -> None:
+    """Measures the slopes that docs/CAPACITY.md uses."""
+    measured = await slopes.measure(
+        port=plan.deployment.port, seed=plan.seed, say=say
+    )
+    raw = {
+        "command": "python -m banyandale_standins measure --what=slopes"
+        f" --seed={plan.seed}",
+        "date": read_date(),
+        **measured,
+    }
+    _write_raw(docs, SLOPES, raw)
+
+
 def _write_raw(docs: pathlib.Path, name: str, raw: dict[str, Any]) -> None:
     folder = docs / "measurements"
     folder.mkdir(parents=True, exist_ok=True)
--- a/libs/standins/src/banyandale_standins/_processes.py
+++ b/libs/standins/src/banyandale_standins/_processes.py
@@ -74,6 +74,11 @@
         """Whether the process has not ended."""
         return self._running[name].poll() is None
 
+    def read_resident_bytes(self, name: str) -> int:
+        """Returns the resident memory of a running process."""
+        statm = pathlib.Path(f"/proc/{self._running[name].pid}/statm")
+        return int(statm.read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to a running process."""
         self._running[name].send_signal(number)
