tests: start loads when the servers are warm

Cause: on a busy machine single calls failed with deadline_unreachable; the gateway's counters showed one refusal by the wait estimate in a home whose servers were all cold at the start of the load. A late start of the load tool was ruled out (at most 23 ms late). Conclusion: the load is moderate from its first call on.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -55,8 +55,11 @@
     neighbours=standins.EpisodeSettings(share=0),
 )
 # The same shares of the capacity need a third of the calls, which leaves the
-# processor to the machine's other users.
-SLOW_DEPLOYMENT = DEPLOYMENT.slow_down(3)
+# processor to the machine's other users. Servers are warm when a load starts:
+# while all are cold, a moderate load is 1.8 times their capacity.
+SLOW_DEPLOYMENT = dataclasses.replace(
+    DEPLOYMENT.slow_down(3), cold=standins.ColdSettings(warm_ms=1500)
+)
 
 
 class Cluster:
@@ -115,6 +118,17 @@
         """Returns the status page of a gateway."""
         return await standins.call_admin(gateway.listen, "GET", "/v1/status")
 
+    async def write_statuses(self, path: pathlib.Path) -> None:
+        """Writes the status pages of the running gateways to a file."""
+        pages = []
+        for gateway in self.system.gateways:
+            if gateway.name in self.system.processes.names():
+                try:
+                    pages.append(await self.status(gateway))
+                except http.HttpError as error:
+                    pages.append({"gateway": gateway.name, "error": str(error)})
+        path.write_text(json.dumps(pages, indent=1))
+
     async def find_home(
         self, service: str, zone: str
     ) -> standins.GatewayPlan | None:
@@ -268,7 +282,12 @@
 
     async def main() -> None:
         await system.start()
-        await scenario(Cluster(system))
+        cluster = Cluster(system)
+        try:
+            await scenario(cluster)
+        except AssertionError:
+            await cluster.write_statuses(folder / "statuses.json")
+            raise
 
     try:
         curio.run(main)
