tests: load a paused home's successor while it resumes

Cause: with a home that needs no lease the test of a paused home passed, because only few calls waited for it and the new holder had just seen the servers restart. Change: 12 callers wait for the paused home, and the servers restart before it resumes, early enough for the new holder to use them.

--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -1,6 +1,7 @@
 """Load of backend servers in cold start, with real processes."""
 
 import dataclasses
+import signal
 
 import curio
 import pytest
@@ -146,24 +147,39 @@
         callers = await start_callers(cluster)
         home = await cluster.find_home(SERVICE, ZONE)
         addresses = cluster.servers(SERVICE, ZONE)
-        for address in addresses:
-            await cluster.change_server(address, refuse=True)
-            await cluster.change_server(address, refuse=False)
+        waiting = clusters.Callers(
+            cluster,
+            SERVICE,
+            gateways=(home,),
+            count=12,
+            method=b"GET",
+            seconds=10.0,
+        )
+
+        async def restart():
+            for address in addresses:
+                await cluster.change_server(address, refuse=True)
+                await cluster.change_server(address, refuse=False)
+
+        await restart()
         await curio.sleep(0.2)
         if how == "kill":
             cluster.kill(home)
         elif how == "pause":
             cluster.pause(home)
+            await waiting.start()
         else:
-            cluster.system.processes.signal(home.name, clusters.signal.SIGTERM)
-        for _ in range(3):
-            await curio.sleep(TAKEOVER_SECONDS / 3)
-            for address in addresses:
-                await cluster.change_server(address, refuse=True)
-                await cluster.change_server(address, refuse=False)
+            cluster.system.processes.signal(home.name, signal.SIGTERM)
+        await curio.sleep(0.3 * TAKEOVER_SECONDS)
+        await restart()
+        await curio.sleep(0.6 * TAKEOVER_SECONDS)
+        await restart()
+        # The new holder uses the cold servers when the old one resumes.
+        await curio.sleep(0.3 * TAKEOVER_SECONDS)
         if how == "pause":
             cluster.resume(home)
         await curio.sleep(1.0)
+        await waiting.stop()
         await callers.stop()
         await check_limit(cluster, addresses=addresses)
 
