dispatch: pause a cold server after a request was given up

Cause: the slot of a cancelled or timed-out request is free at once, while the server works on it until it sees the closed connection. The next request then exceeded the limit of a cold server. The stand-in noticed a closed connection at once and hid this; its change cancel_ms now lets the work go on. Ruled out: loss of connections, which has a pause already. Change: after such an outcome a server that is not warm gets no work for 50 ms. Conclusion: holds while a server ends cancelled work within 50 ms.

--- a/libs/dispatch/src/banyandale_dispatch/_dispatcher.py
+++ b/libs/dispatch/src/banyandale_dispatch/_dispatcher.py
@@ -25,10 +25,16 @@
 # A server that sheds has no free slot; the pause keeps its quick rejections
 # from attracting more requests.
 MAX_SHED_PAUSE_SECONDS = 0.05
+# A server in cold start gets no work for this long after a request that was
+# given up: the server works on it until it sees the closed connection.
+CANCEL_PAUSE_SECONDS = 0.05
 # A server that fails this often in a row is used only when no other is free,
 # because quick failures would make it the least loaded one.
 SUSPECT_FAILURES = 3
 SCORE_WEIGHT = 0.2
+GIVEN_UP_KINDS = frozenset(
+    {states.OutcomeKind.CANCELLED, states.OutcomeKind.TIMED_OUT}
+)
 
 
 class Dispatcher:
@@ -458,6 +464,12 @@
             state.retry_at = max(state.retry_at, now + pause)
         elif kind is not states.OutcomeKind.CANCELLED:
             state.failures += 1
+        if (
+            kind in GIVEN_UP_KINDS
+            and state.phase is not states.Phase.WARM
+            and self._limit_slots
+        ):
+            state.retry_at = max(state.retry_at, now + CANCEL_PAUSE_SECONDS)
 
     def _note_loss(self, state: states.ServerState, now: float) -> None:
         # Connections lost together count once.
--- a/libs/standins/src/banyandale_standins/_backend.py
+++ b/libs/standins/src/banyandale_standins/_backend.py
@@ -116,6 +116,8 @@
             `none` ends silence for new ones.
         refuse: True resets all connections and refuses new ones; False
             starts the server again.
+        cancel_ms: How long the work goes on after its caller closed the
+            connection.
         claim_phase: Phase that the server reports instead of its true one;
             "" for the true one.
     """
@@ -128,6 +130,7 @@
     delay_ms: float | None = pydantic.Field(default=None, ge=0)
     silence: Literal["none", "open", "all"] | None = None
     refuse: bool | None = None
+    cancel_ms: float | None = pydantic.Field(default=None, ge=0)
     claim_phase: Literal["", "cold", "warm", "leaving"] | None = None
 
 
@@ -280,6 +283,7 @@
         self._fault = "none"
         self._fault_ratio = 1.0
         self._delay_ms = 0.0
+        self._cancel_ms = 0.0
         self._all_silent = False
         self._claimed_phase = ""
         self._previous: http.Response | None = None
@@ -451,6 +455,7 @@
             await link.wait_until(self._draw_end())
         except _CallerLeftError:
             self.counters["cancelled"] += 1
+            await curio.sleep(self._cancel_ms / core.MILLISECONDS_PER_SECOND)
             raise
         finally:
             await slots.give()
@@ -575,6 +580,8 @@
             self._fault_ratio = change.fault_ratio
         if change.delay_ms is not None:
             self._delay_ms = change.delay_ms
+        if change.cancel_ms is not None:
+            self._cancel_ms = change.cancel_ms
         if change.claim_phase is not None:
             self._claimed_phase = change.claim_phase
         if change.silence is not None:
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -15,6 +15,8 @@
 # A request that was sent before the server's first sign of its cold start
 # reached the gateway may still arrive for this long.
 IN_FLIGHT_SECONDS = 0.25
+# From a closed connection to the end of the work behind it.
+CANCEL_MS = 20.0
 # Long enough for many requests to a cold server.
 COLD_SECONDS = 2.0
 # From a killed or paused holder to its successor, see the lease's duration.
@@ -228,7 +230,9 @@
 
     async def scenario(cluster):
         for address in cluster.servers(SERVICE, ZONE):
-            await cluster.change_server(address, cold=True, slow_factor=20)
+            await cluster.change_server(
+                address, cold=True, slow_factor=20, cancel_ms=CANCEL_MS
+            )
         callers = clusters.Callers(
             cluster,
             SERVICE,
@@ -240,6 +244,10 @@
         await callers.start()
         await curio.sleep(COLD_SECONDS)
         await callers.stop()
+        counters = await cluster.server_counters()
+        print(
+            "cancelled", sum(c.get("cancelled", 0) for c in counters.values())
+        )
         await check_limit(cluster)
 
     run(tmp_path, scenario)
