--- a/libs/dispatch/src/banyandale_dispatch/_dispatcher.py
+++ b/libs/dispatch/src/banyandale_dispatch/_dispatcher.py
@@ -25,12 +25,18 @@
 # A server that sheds has no free slot; the pause keeps its quick rejections
 # from attracting more requests.
 MAX_SHED_PAUSE_SECONDS = 0.05
+# A server in cold start gets no work for this long after a request that was
+# given up: the server works on it until it sees the closed connection.
+CANCEL_PAUSE_SECONDS = 0.05
 # A server that fails this often in a row is used only when no other is free,
 # because quick failures would make it the least loaded one.
 SUSPECT_FAILURES = 3
 # At twice the peak load and a timeout of ten mean service times, a margin of
 # 1.0 let 9% of the admitted requests miss their deadline, 1.5 less than 2%.
 WAIT_MARGIN = 1.5
+GIVEN_UP_KINDS = frozenset(
+    {states.OutcomeKind.CANCELLED, states.OutcomeKind.TIMED_OUT}
+)
 
 
 class Dispatcher:
@@ -494,6 +500,12 @@
             state.note_slow(seconds, p90=times.p90, now=now)
             if kind is not states.OutcomeKind.CANCELLED:
                 state.failures += 1
+        if (
+            kind in GIVEN_UP_KINDS
+            and state.phase is not states.Phase.WARM
+            and self._limit_slots
+        ):
+            state.retry_at = max(state.retry_at, now + CANCEL_PAUSE_SECONDS)
 
     def _note_loss(self, state: states.ServerState, now: float) -> None:
         # Connections lost together count once.
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -1,6 +1,7 @@
 """Load of backend servers in cold start, with real processes."""
 
 import dataclasses
+import signal
 
 import curio
 import pytest
@@ -14,6 +15,8 @@
 # A request that was sent before the server's first sign of its cold start
 # reached the gateway may still arrive for this long.
 IN_FLIGHT_SECONDS = 0.25
+# From a closed connection to the end of the work behind it.
+CANCEL_MS = 20.0
 # Long enough for many requests to a cold server.
 COLD_SECONDS = 2.0
 # From a killed or paused holder to its successor, see the lease's duration.
@@ -146,24 +149,39 @@
         callers = await start_callers(cluster)
         home = await cluster.find_home(SERVICE, ZONE)
         addresses = cluster.servers(SERVICE, ZONE)
-        for address in addresses:
-            await cluster.change_server(address, refuse=True)
-            await cluster.change_server(address, refuse=False)
+        waiting = clusters.Callers(
+            cluster,
+            SERVICE,
+            gateways=(home,),
+            count=12,
+            method=b"GET",
+            seconds=10.0,
+        )
+
+        async def restart():
+            for address in addresses:
+                await cluster.change_server(address, refuse=True)
+                await cluster.change_server(address, refuse=False)
+
+        await restart()
         await curio.sleep(0.2)
         if how == "kill":
             cluster.kill(home)
         elif how == "pause":
             cluster.pause(home)
+            await waiting.start()
         else:
-            cluster.system.processes.signal(home.name, clusters.signal.SIGTERM)
-        for _ in range(3):
-            await curio.sleep(TAKEOVER_SECONDS / 3)
-            for address in addresses:
-                await cluster.change_server(address, refuse=True)
-                await cluster.change_server(address, refuse=False)
+            cluster.system.processes.signal(home.name, signal.SIGTERM)
+        await curio.sleep(0.3 * TAKEOVER_SECONDS)
+        await restart()
+        await curio.sleep(0.6 * TAKEOVER_SECONDS)
+        await restart()
+        # The new holder uses the cold servers when the old one resumes.
+        await curio.sleep(0.3 * TAKEOVER_SECONDS)
         if how == "pause":
             cluster.resume(home)
         await curio.sleep(1.0)
+        await waiting.stop()
         await callers.stop()
         await check_limit(cluster, addresses=addresses)
 
@@ -212,7 +230,9 @@
 
     async def scenario(cluster):
         for address in cluster.servers(SERVICE, ZONE):
-            await cluster.change_server(address, cold=True, slow_factor=20)
+            await cluster.change_server(
+                address, cold=True, slow_factor=20, cancel_ms=CANCEL_MS
+            )
         callers = clusters.Callers(
             cluster,
             SERVICE,
@@ -224,6 +244,10 @@
         await callers.start()
         await curio.sleep(COLD_SECONDS)
         await callers.stop()
+        counters = await cluster.server_counters()
+        print(
+            "cancelled", sum(c.get("cancelled", 0) for c in counters.values())
+        )
         await check_limit(cluster)
 
     run(tmp_path, scenario)
