router: keep the run mark of an attempt that may have run

Cause: a call whose first attempt may have run was retried; when the retry was refused before it was sent (no other server, shed), the caller got the mark of the refusal, not-run, which was false. The same held for the first of two failures of a hedged call.

Ruled out: a wrong mark of the attempt itself; the first error was marked unknown.

Change: the last failure that may have run is the one that the caller gets.

--- a/libs/gateway/src/banyandale_gateway/_router.py
+++ b/libs/gateway/src/banyandale_gateway/_router.py
@@ -54,6 +54,7 @@
     failed_servers: set[str] = dataclasses.field(default_factory=set)
     refused_homes: set[tuple[str, str]] = dataclasses.field(default_factory=set)
     reroutes: int = 0
+    unknown: errors.CallError | None = None
 
 
 class Peers(Protocol):
@@ -102,8 +103,14 @@
             try:
                 return await self._try_home(call, progress)
             except errors.CallError as error:
+                if error.run is core.RunMark.UNKNOWN:
+                    progress.unknown = error
                 if not self._may_go_on(call, error, progress, budget):
-                    raise
+                    if progress.unknown in (None, error):
+                        raise
+                    # A later attempt that was refused without being run does
+                    # not undo an earlier one.
+                    raise progress.unknown from error
 
     async def serve_peer(self, call: calls.Call) -> calls.Answer:
         """Runs a call that a peer passed on. It goes no further.
@@ -313,7 +320,7 @@
             for task in tasks:
                 await task.cancel()
         if not winner:
-            raise failure[0]
+            raise _find_unknown(failure)
         # Both may have finished before the cancellation.
         for _, answer in winner[1:]:
             if answer.rest is not None:
@@ -323,6 +330,14 @@
         return winner[0][1]
 
 
+def _find_unknown(failures: list[errors.CallError]) -> errors.CallError:
+    """Returns a failure that may have run, else the first one."""
+    for error in failures:
+        if error.run is core.RunMark.UNKNOWN:
+            return error
+    return failures[0]
+
+
 def _local_cost(home: homes.Home) -> float:
     return home.dispatcher.estimate_wait()
 
--- a/libs/gateway/tests/test_router.py
+++ b/libs/gateway/tests/test_router.py
@@ -219,3 +219,36 @@
     with pytest.raises(errors.NoHomeError) as caught:
         curio.run(build().route, make_call(seconds=0.2))
     assert caught.value.run is core.RunMark.NOT_RUN
+
+
+def test_refused_retry_does_not_undo_an_attempt_that_may_have_run():
+    """Guards against rejections that say not run after a request was sent."""
+    sheds = [errors.ShedError("full") for _ in range(10)]
+    sender = Sender(lost(UNKNOWN), *sheds)
+    with pytest.raises(errors.CallError) as caught:
+        curio.run(build([make_home()], sender=sender).route, make_call())
+    assert sender.count > 1
+    assert caught.value.run is UNKNOWN
+
+
+def test_failed_hedge_does_not_undo_an_attempt_that_may_have_run():
+    """Guards against a rejection with the mark of only one of two attempts."""
+    sender = Sender(lost(UNKNOWN), errors.ShedError("full"))
+
+    async def main():
+        hedged = build([make_home()], sender=sender)
+        assignments = [
+            await make_home().dispatcher.acquire(
+                deadline=0.0, priority=1, exclude=frozenset()
+            )
+            for _ in range(2)
+        ]
+        second, first = [
+            sender.prepare(None, assignment=item, dispatcher=None)
+            for item in assignments
+        ]
+        await hedged._finish_first(first, second)
+
+    with pytest.raises(errors.CallError) as caught:
+        curio.run(main)
+    assert caught.value.run is UNKNOWN
