gateway: refuse responses of another request without an id

Cause: the gateway compared the echoed Request-Id only where there was one. A server that mixed up its responses could send the one to a probe of /load, or a shed response to another request, which has no id in it; the caller got the load page as its answer, and a crossed shed response would be taken for not-run.

Change: a server that has named a request id must always do so, probes carry an id that no call has, and the stand-in echoes the id in every response. Also in this commit: a service's max_response_bytes is enforced on the length and on what was read, for streamed bodies too (response_too_large).

Not covered: servers that never echo the id; the first response of a server to a gateway, when the response that it is mixed up with has no id.

--- a/libs/gateway/src/banyandale_gateway/_backends.py
+++ b/libs/gateway/src/banyandale_gateway/_backends.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 from typing import Literal
 from typing import Protocol
+import uuid
 
 import pydantic
 
@@ -68,8 +69,8 @@
     def is_shed(self, head: http.ResponseHead) -> bool:
         """Whether the backend server says that it did not run the request."""
 
-    def belongs_to(self, head: http.ResponseHead, request_id: str) -> bool:
-        """Whether the response is the one to this request."""
+    def read_request_id(self, head: http.ResponseHead) -> str | None:
+        """Returns the id of the request that the response names, if any."""
 
     def strip_headers(self, headers: http.Headers) -> http.Headers:
         """Returns the response headers that the caller receives."""
@@ -120,8 +121,13 @@
         )
 
     def build_probe(self) -> http.Request:
-        """Returns `GET /load`."""
-        return http.Request(method=b"GET", target=b"/load")
+        """Returns `GET /load`, with an id that no call has."""
+        request_id = uuid.uuid4().hex.encode()
+        return http.Request(
+            method=b"GET",
+            target=b"/load",
+            headers=((REQUEST_ID, request_id),),
+        )
 
     def read_probe(self, response: http.Response) -> dispatch.LoadReport | None:
         """Reads the JSON of a load report; wrong ones are left out."""
@@ -144,10 +150,10 @@
             head.header(_SHED) == b"not-run"
         )
 
-    def belongs_to(self, head: http.ResponseHead, request_id: str) -> bool:
-        """Whether the echoed request id, if any, is the sent one."""
+    def read_request_id(self, head: http.ResponseHead) -> str | None:
+        """Returns the echoed `Request-Id`."""
         echoed = head.header(REQUEST_ID)
-        return echoed is None or echoed == request_id.encode()
+        return None if echoed is None else echoed.decode("latin-1")
 
     def strip_headers(self, headers: http.Headers) -> http.Headers:
         """Leaves out what concerns only the gateway."""
--- a/libs/gateway/src/banyandale_gateway/_errors.py
+++ b/libs/gateway/src/banyandale_gateway/_errors.py
@@ -214,6 +214,17 @@
     code = "mixed_response"
 
 
+class ResponseTooLargeError(ExchangeFailedError):
+    """The response body is larger than the service allows."""
+
+    code = "response_too_large"
+
+    def __init__(self, message: str) -> None:
+        super().__init__(
+            message, cause="response_too_large", run=core.RunMark.UNKNOWN
+        )
+
+
 class RemoteCallError(AttemptError):
     """A peer reported an error of the call.
 
--- a/libs/gateway/src/banyandale_gateway/_sender.py
+++ b/libs/gateway/src/banyandale_gateway/_sender.py
@@ -37,6 +37,7 @@
         dispatcher: dispatch.Dispatcher,
         pool: http.Pool,
         protocol: backends.BackendProtocol,
+        naming_servers: set[str],
         clock: core.Clock,
     ) -> None:
         self._call = call
@@ -44,9 +45,11 @@
         self._dispatcher = dispatcher
         self._pool = pool
         self._protocol = protocol
+        self._naming_servers = naming_servers
         self._clock = clock
         self._connection: http.ClientConnection | None = None
         self._released = False
+        self._body_bytes = 0
 
     @property
     def address(self) -> str:
@@ -149,15 +152,12 @@
 
     async def _finish(self) -> calls.Answer:
         head = await self._connection.read_head(deadline=self._call.deadline)
-        if not self._protocol.belongs_to(head, self._call.id):
-            raise errors.MixedResponseError(
-                f"{self.address} sent the response to another request",
-                cause="request_id_differs",
-                run=core.RunMark.UNKNOWN,
-            )
+        self._check_request_id(head)
         report = self._protocol.read_report(head)
         if report is not None:
             self._dispatcher.observe(self.address, report)
+        if head.length is not None and self._call.request.method != b"HEAD":
+            self._check_size(head.length)
         body, complete = await self._read_first_part()
         if self._protocol.is_shed(head):
             await self._end(dispatch.OutcomeKind.SHED)
@@ -172,29 +172,59 @@
             return calls.Answer(head=head, body=body)
         return calls.Answer(head=head, body=body, rest=self)
 
+    def _check_request_id(self, head: http.ResponseHead) -> None:
+        """Refuses the response to another request.
+
+        A server that has named a request id must always do so: without one,
+        the response may be the one to a probe.
+        """
+        request_id = self._protocol.read_request_id(head)
+        if request_id is not None:
+            self._naming_servers.add(self.address)
+        elif self.address not in self._naming_servers:
+            return
+        if request_id != self._call.id:
+            raise errors.MixedResponseError(
+                f"{self.address} sent the response to another request",
+                cause="request_id_differs",
+                run=core.RunMark.UNKNOWN,
+            )
+
     async def _read_first_part(self) -> tuple[bytes, bool]:
         chunks = []
-        size = 0
-        while size < BUFFERED_BODY_BYTES:
-            chunk = await self._connection.read_chunk(
-                deadline=self._call.deadline
-            )
+        while self._body_bytes < BUFFERED_BODY_BYTES:
+            chunk = await self._read_chunk(deadline=self._call.deadline)
             if not chunk:
                 return b"".join(chunks), True
             chunks.append(chunk)
-            size += len(chunk)
         return b"".join(chunks), False
 
+    async def _read_chunk(self, *, deadline: float) -> bytes:
+        chunk = await self._connection.read_chunk(deadline=deadline)
+        self._body_bytes += len(chunk)
+        self._check_size(self._body_bytes)
+        return chunk
+
+    def _check_size(self, size: int) -> None:
+        limit = self._call.service.max_response_bytes
+        if size > limit:
+            raise errors.ResponseTooLargeError(
+                f"{self.address} sent a body over {limit} bytes"
+            )
+
     async def read(self) -> bytes:
         """Reads more of a long body; see `calls.BodyStream`."""
         deadline = time.monotonic() + STREAM_STALL_SECONDS
         try:
-            chunk = await self._connection.read_chunk(deadline=deadline)
+            chunk = await self._read_chunk(deadline=deadline)
         except http.HttpError as error:
             await self._end(dispatch.OutcomeKind.LOST)
             raise errors.ExchangeFailedError(
                 str(error), cause=error.code, run=error.run
             ) from error
+        except errors.CallError:
+            await self._end(dispatch.OutcomeKind.FAILED)
+            raise
         if not chunk:
             await self._end(dispatch.OutcomeKind.OK)
         return chunk
@@ -233,6 +263,7 @@
         self._source = source
         self._clock = clock
         self._pools: dict[str, http.Pool] = {}
+        self._naming_servers: set[str] = set()
 
     def prepare(
         self,
@@ -248,6 +279,7 @@
             dispatcher=dispatcher,
             pool=self._pool(assignment.address),
             protocol=self._protocol,
+            naming_servers=self._naming_servers,
             clock=self._clock,
         )
 
@@ -262,6 +294,7 @@
 
     async def keep_only(self, addresses: frozenset[str]) -> None:
         """Closes the connections to servers that are no longer configured."""
+        self._naming_servers &= addresses
         for address in self._pools.keys() - addresses:
             await self._pools.pop(address).clear()
 
--- a/libs/standins/src/banyandale_standins/_backend.py
+++ b/libs/standins/src/banyandale_standins/_backend.py
@@ -366,7 +366,7 @@
         await self._travel(link)
         await self._stay_silent(link)
         if request.target == b"/load":
-            response = self._report_load()
+            response = self._report_load(request)
         else:
             response = await self._handle(link, request)
         await self._travel(link)
@@ -381,7 +381,7 @@
         while link.silent:
             await link.wait_until(time.monotonic() + IDLE_SECONDS)
 
-    def _report_load(self) -> http.Response:
+    def _report_load(self, request: http.Request) -> http.Response:
         self.counters["load_requests"] += 1
         load = self._read_load()
         body = {
@@ -395,6 +395,7 @@
             headers=(
                 (b"content-type", b"application/json"),
                 *self._make_headers(),
+                *_echo(request),
             ),
             body=json.dumps(body).encode(),
         )
@@ -428,10 +429,11 @@
         deadline = self._read_deadline(request)
         if not await slots.take(link, deadline):
             is_late = time.monotonic() >= deadline
-            return self._shed("shed_deadline" if is_late else "shed_full")
+            counter = "shed_deadline" if is_late else "shed_full"
+            return self._shed(request, counter)
         try:
             if time.monotonic() >= deadline:
-                return self._shed("shed_deadline")
+                return self._shed(request, "shed_deadline")
             self._record(request)
             await link.wait_until(self._draw_end())
         except _CallerLeftError:
@@ -470,11 +472,15 @@
             return time.monotonic() + IDLE_SECONDS
         return core.deadline_from_unix_ms(int(value), core.SystemClock())
 
-    def _shed(self, counter: str) -> http.Response:
+    def _shed(self, request: http.Request, counter: str) -> http.Response:
         self.counters[counter] += 1
         return http.Response(
             status=503,
-            headers=((b"server-shed", b"not-run"), *self._make_headers()),
+            headers=(
+                (b"server-shed", b"not-run"),
+                *self._make_headers(),
+                *_echo(request),
+            ),
         )
 
     def _record(self, request: http.Request) -> None:
@@ -496,14 +502,12 @@
         return self._neighbours.find_end(start=time.monotonic(), work=work)
 
     def _make_response(self, request: http.Request) -> http.Response:
-        request_id = request.header(b"request-id")
-        echoed = () if request_id is None else ((b"request-id", request_id),)
         return http.Response(
             status=200,
             headers=(
                 (b"content-type", b"application/octet-stream"),
                 *self._make_headers(),
-                *echoed,
+                *_echo(request),
             ),
             body=self._bodies.make(request.target, self._rng),
         )
@@ -572,6 +576,11 @@
         }
 
 
+def _echo(request: http.Request) -> http.Headers:
+    request_id = request.header(b"request-id")
+    return () if request_id is None else ((b"request-id", request_id),)
+
+
 def _encode(response: http.Response) -> bytes:
     """Encodes a response without HTTP state, to send it wrongly."""
     lines = [b"HTTP/1.1 %d OK" % response.status]
