http: drop callers that fall silent within a request

Cause: only the deadline of the whole request, 60 s, ended a connection that was silent within a request. A connection that was closed within a response without length (a caller that took no data for 10 s, an unexpected error) looked to a caller that speaks HTTP/1.0 like the end of the body.

Change: 5 s without data within a request end the connection, and closing it within a response resets it.

--- a/libs/http/src/banyandale_http/_server.py
+++ b/libs/http/src/banyandale_http/_server.py
@@ -18,6 +18,9 @@
 # A caller that takes no data for this long is dropped, because its response
 # holds a slot of a backend server.
 STALL_SECONDS = 10.0
+# A caller that falls silent within a request is dropped after this time; the
+# whole request is limited by the deadline of `read_request`.
+REQUEST_STALL_SECONDS = 5.0
 
 
 class ServerConnection:
@@ -94,9 +97,23 @@
 
     async def _next_event(self) -> h11.Event:
         while (event := self._http.next_event()) is h11.NEED_DATA:
-            self._http.receive_data(await self._sock.recv(RECEIVE_BYTES))
+            self._http.receive_data(await self._receive())
         return event
 
+    async def _receive(self) -> bytes:
+        in_head = bool(self._http.trailing_data[0])
+        if not in_head and self._http.their_state is not h11.SEND_BODY:
+            return await self._sock.recv(RECEIVE_BYTES)
+        try:
+            return await sockets.receive(
+                self._sock,
+                limit=RECEIVE_BYTES,
+                deadline=time.monotonic() + REQUEST_STALL_SECONDS,
+            )
+        except curio.TaskTimeout as error:
+            # Another type, since a timeout must not leave an outer one.
+            raise TimeoutError("caller fell silent") from error
+
     @property
     def is_reusable(self) -> bool:
         """Whether another request may follow on this connection."""
@@ -187,5 +204,8 @@
         await self._sock.close()
 
     async def close(self) -> None:
-        """Closes the connection."""
-        await self._sock.close()
+        """Closes the connection; resets it within a response."""
+        if self._http.our_state is h11.SEND_BODY:
+            await self.abort()
+        else:
+            await self._sock.close()
--- a/libs/http/tests/test_connections.py
+++ b/libs/http/tests/test_connections.py
@@ -102,3 +102,38 @@
     with pytest.raises(http.ConnectError) as caught:
         curio.run(main)
     assert caught.value.run is core.RunMark.NOT_RUN
+
+
+@pytest.mark.parametrize("whole", [False, True])
+def test_response_without_length_is_complete_only_with_its_end(whole):
+    """Guards against a partial body that a close makes look whole.
+
+    A caller that speaks HTTP/1.0 takes the end of the connection for the end
+    of the body.
+    """
+
+    async def main():
+        listener = http.open_listener("127.0.0.1:0")
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        deadline = time.monotonic() + 2
+        sock = await http.open_socket(
+            address=address, source=None, deadline=deadline
+        )
+        await sock.sendall(b"GET / HTTP/1.0\r\n\r\n")
+        accepted, _ = await listener.accept()
+        connection = http.ServerConnection(sock=accepted)
+        await connection.read_request(limit=0, idle_deadline=deadline)
+        await connection.start_response(http.ResponseHead(status=200))
+        await connection.send_chunk(b"part")
+        if whole:
+            await connection.end_response()
+        assert (await sock.recv(1000)).endswith(b"part")
+        await connection.close()
+        async with sock, listener:
+            return await sock.recv(1000)
+
+    if whole:
+        assert curio.run(main) == b""
+    else:
+        with pytest.raises(ConnectionResetError):
+            curio.run(main)
