--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -77,6 +77,7 @@
         service: str,
         *,
         method: bytes = b"GET",
+        target: bytes = b"/item",
         body: bytes = b"",
         headers: http.Headers = (),
         seconds: float = CALL_SECONDS,
@@ -90,7 +91,7 @@
             return await connection.exchange(
                 http.Request(
                     method=method,
-                    target=b"/item",
+                    target=target,
                     headers=((b"service", service.encode()), *headers),
                     body=body,
                 ),
