--- a/libs/gateway/src/banyandale_gateway/_router.py
+++ b/libs/gateway/src/banyandale_gateway/_router.py
@@ -55,23 +55,27 @@
         failed_servers: Servers at which an attempt failed.
         refused_homes: Peer and zone of homes that refused the call.
         reroutes: How often it moved on to another home.
-        may_have_run: Whether an attempt ended with an unknown outcome.
+        unknown: Error of the last attempt that may have run, if any.
     """
 
     failed_servers: set[str] = dataclasses.field(default_factory=set)
     refused_homes: set[tuple[str, str]] = dataclasses.field(default_factory=set)
     reroutes: int = 0
-    may_have_run: bool = False
+    unknown: errors.CallError | None = None
 
-    def mark(self, error: errors.CallError) -> None:
-        """Makes the error of one attempt that of all attempts so far.
+    def note(self, error: errors.CallError) -> None:
+        """Remembers an error whose attempt may have run."""
+        if error.run is core.RunMark.UNKNOWN:
+            self.unknown = error
 
-        The last attempt may be known not to have run while an earlier one
-        has.
+    def conclude(self, error: errors.CallError) -> errors.CallError:
+        """Returns the error that the caller gets after the last attempt.
+
+        A later attempt that was refused without being run does not undo an
+        earlier one.
         """
-        if self.may_have_run:
-            error.run = core.RunMark.UNKNOWN
-        self.may_have_run = error.run is core.RunMark.UNKNOWN
+        self.note(error)
+        return self.unknown or error
 
 
 class Peers(Protocol):
@@ -120,10 +124,9 @@
             try:
                 return await self._try_home(call, progress)
             except errors.CallError as error:
-                may_go_on = self._may_go_on(call, error, progress, budget)
-                progress.mark(error)
-                if not may_go_on:
-                    raise
+                progress.note(error)
+                if not self._may_go_on(call, error, progress, budget):
+                    raise progress.conclude(error) from None
 
     async def serve_peer(self, call: calls.Call) -> calls.Answer:
         """Runs a call that a peer passed on. It goes no further.
@@ -141,8 +144,7 @@
         try:
             return await self._try_local(call, home, progress)
         except errors.CallError as error:
-            progress.mark(error)
-            raise
+            raise progress.conclude(error) from None
 
     def _may_go_on(
         self,
@@ -280,7 +282,7 @@
         hedge = await self._start_hedge(call, home, attempt, progress)
         if hedge is None:
             return await attempt.finish()
-        return await self._finish_first(attempt, hedge, progress)
+        return await self._finish_first(attempt, hedge)
 
     async def _start_hedge(
         self,
@@ -303,7 +305,7 @@
         try:
             await hedge.start(self._build_guard(home, hedge))
         except errors.CallError as error:
-            progress.mark(error)
+            progress.note(error)
             return None
         except BaseException:
             await first.close()
@@ -319,10 +321,7 @@
         return self._budgets.find(call.service).try_spend()
 
     async def _finish_first(
-        self,
-        first: sender.Attempt,
-        hedge: sender.Attempt,
-        progress: _Progress,
+        self, first: sender.Attempt, hedge: sender.Attempt
     ) -> calls.Answer:
         """Returns the first complete response and cancels the other."""
         winner: list[tuple[sender.Attempt, calls.Answer]] = []
@@ -333,7 +332,6 @@
             try:
                 answer = await attempt.finish()
             except errors.CallError as error:
-                progress.mark(error)
                 failure.append(error)
                 if len(failure) == 2:
                     await done.set()
@@ -351,7 +349,7 @@
             for task in tasks:
                 await task.cancel()
         if not winner:
-            raise failure[0]
+            raise _find_unknown(failure)
         # Both may have finished before the cancellation.
         for _, answer in winner[1:]:
             if answer.rest is not None:
@@ -361,6 +359,14 @@
         return winner[0][1]
 
 
+def _find_unknown(failures: list[errors.CallError]) -> errors.CallError:
+    """Returns a failure that may have run, else the first one."""
+    for error in failures:
+        if error.run is core.RunMark.UNKNOWN:
+            return error
+    return failures[0]
+
+
 def _local_cost(home: homes.Home) -> float:
     return home.dispatcher.estimate_wait()
 
--- a/libs/standins/src/banyandale_standins/_backend.py
+++ b/libs/standins/src/banyandale_standins/_backend.py
@@ -381,7 +381,7 @@
         await self._travel(link)
         await self._stay_silent(link)
         if request.target == b"/load":
-            response = self._report_load()
+            response = self._report_load(request)
         else:
             response = await self._handle(link, request)
         await self._travel(link)
@@ -396,7 +396,7 @@
         while link.silent:
             await link.wait_until(time.monotonic() + IDLE_SECONDS)
 
-    def _report_load(self) -> http.Response:
+    def _report_load(self, request: http.Request) -> http.Response:
         self.counters["load_requests"] += 1
         load = self._read_load()
         body = {
@@ -410,6 +410,7 @@
             headers=(
                 (b"content-type", b"application/json"),
                 *self._make_headers(),
+                *_echo_id(request),
             ),
             body=json.dumps(body).encode(),
         )
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -86,6 +86,7 @@
         service: str,
         *,
         method: bytes = b"GET",
+        target: bytes = b"/item",
         body: bytes = b"",
         headers: http.Headers = (),
         seconds: float = CALL_SECONDS,
@@ -99,7 +100,7 @@
             return await connection.exchange(
                 http.Request(
                     method=method,
-                    target=b"/item",
+                    target=target,
                     headers=((b"service", service.encode()), *headers),
                     body=body,
                 ),
