--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -191,12 +191,14 @@
     async def scenario(cluster):
         gateways = cluster.system.gateways
         async with watched(cluster, gateways) as generations:
-            for number, queue_limit in enumerate((150, 160), start=2):
+            # A change of zones writes no parts, which would use up the lost
+            # responses before the root is written.
+            for number, out in enumerate((["c"], []), start=2):
                 await cluster.set_platform_faults(
                     lose_write_responses=LOST_RESPONSES
                 )
                 accepted_at = time.monotonic()
-                assert await apply(cluster, queue_limit) == number
+                assert await cluster.system.apply_zones(out=out) == number
                 seconds = await generations.wait(
                     gateways, number, since=accepted_at
                 )
