Prove a whole session against a golden file, and two recorded traces

tests/test_session.py runs the commands of an operator and fixed requests of a caller and compares the transcript with tests/golden/session.txt. tests/test_traces.py replays tests/traces/*.jsonl against the outcomes that each phase states.

--- /dev/null
+++ b/tests/test_session.py
@@ -0,0 +1,264 @@
+"""A whole session of an operator and a caller, compared with its transcript.
+
+`REWRITE_GOLDEN=1` writes the transcript anew; read the difference
+before committing it.
+"""
+
+import difflib
+import json
+import os
+import pathlib
+import re
+import subprocess
+import sys
+import time
+
+import curio
+
+import banyandale_http as http
+import banyandale_standins as standins
+import cluster as clusters
+
+GOLDEN = pathlib.Path(__file__).parent / "golden" / "session.txt"
+# Not a setting of the program, which refuses unknown BANYANDALE_ variables.
+REWRITE = "REWRITE_GOLDEN"
+COMMAND_SECONDS = 12.0
+KEY = (b"idempotency-key", b"order-1")
+SHOWN_HEADERS = (
+    b"banyandale-run",
+    b"banyandale-reason",
+    b"idempotency-replayed",
+    b"cache-control",
+)
+
+DEPLOYMENT = standins.Deployment(
+    name="session",
+    zones=("a", "b", "c"),
+    gateways=3,
+    connections=200,
+    services=(
+        standins.ServicePlan(
+            name="catalogue",
+            servers=3,
+            priority=1,
+            profile=standins.ServiceProfile(mean_ms=5),
+        ),
+        standins.ServicePlan(
+            name="ledger",
+            servers=3,
+            priority=0,
+            profile=standins.ServiceProfile(mean_ms=5),
+            method="POST",
+            keyed=True,
+        ),
+    ),
+    cold=standins.ColdSettings(warm_requests=0),
+    neighbours=standins.EpisodeSettings(share=0),
+)
+
+# Values that differ from run to run, with what stands for them. Ports are
+# replaced by their offset from the first one of the cluster.
+VOLATILE = (
+    (re.compile(r"\d{4}-\d\d-\d\dT\d\d:\d\d:\d\dZ"), "TIME"),
+    (re.compile(r'"valid_until": [\d.]+'), '"valid_until": UNIX'),
+)
+
+
+class Transcript:
+    """Runs commands and requests and writes down what came back."""
+
+    def __init__(self, cluster: clusters.Cluster, folder: pathlib.Path):
+        self._cluster = cluster
+        self._folder = folder
+        self._port = cluster.system.deployment.port
+        self._text = ""
+
+    def text(self) -> str:
+        """Returns the transcript without volatile values."""
+        text = re.sub(
+            r"(127\.0\.\d+\.\d+):(\d+)",
+            lambda found: f"{found[1]}:PORT+{int(found[2]) - self._port}",
+            self._text,
+        )
+        for pattern, replacement in VOLATILE:
+            text = pattern.sub(replacement, text)
+        return text
+
+    async def command(self, *arguments: str) -> None:
+        """Runs one command in the folder of the documents."""
+        self._text += await self._run(*arguments)
+
+    async def read(self, *commands: tuple[str, ...]) -> None:
+        """Runs commands that change nothing, at the same time."""
+        async with curio.TaskGroup() as group:
+            tasks = [
+                await group.spawn(self._run, *arguments)
+                for arguments in commands
+            ]
+        self._text += "".join(task.result for task in tasks)
+
+    async def _run(self, *arguments: str) -> str:
+        started = [sys.executable, "-m", "banyandale", *arguments]
+        deployment = self._cluster.system.deployment
+        environment = {
+            **os.environ,
+            "BANYANDALE_PLATFORM": deployment.platform_address(),
+            "BANYANDALE_AUTHOR": "duty",
+        }
+        finished = await curio.run_in_thread(
+            lambda: subprocess.run(
+                started,
+                cwd=self._folder,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                capture_output=True,
+                text=True,
+                timeout=COMMAND_SECONDS,
+                check=False,
+            )
+        )
+        text = f"$ banyandale {' '.join(arguments)}\n{finished.stdout}"
+        for line in finished.stderr.splitlines():
+            text += f"stderr: {line}\n"
+        return f"{text}exit code {finished.returncode}\n\n"
+
+    async def call(
+        self,
+        service: str,
+        *,
+        method: bytes = b"GET",
+        target: bytes = b"/item",
+        body: bytes = b"",
+        headers: http.Headers = (),
+    ) -> None:
+        """Sends one request to the first gateway."""
+        response = await self._cluster.call(
+            self._cluster.system.gateways[0],
+            service,
+            method=method,
+            target=target,
+            body=body,
+            headers=headers,
+        )
+        shown = b" ".join(b"%s: %s;" % pair for pair in headers).decode()
+        self._text += (
+            f"> {method.decode()} {target.decode()} service: {service};"
+            f" {shown} body: {body.decode()!r}\n"
+        )
+        self._show(response, target)
+
+    def _show(self, response: http.Response, target: bytes) -> None:
+        self._text += f"< {response.status}\n"
+        for name in SHOWN_HEADERS:
+            value = response.header(name)
+            if value is not None:
+                self._text += f"< {name.decode()}: {value.decode()}\n"
+        if response.header(b"content-type") == b"application/json":
+            self._text += f"< {response.body.decode()}\n"
+        else:
+            fault = standins.find_fault(target, response.body)
+            self._text += f"< body: {fault or 'whole'}\n"
+        self._text += "\n"
+
+    async def send(self, data: bytes) -> None:
+        """Sends raw bytes; shows the response up to its end."""
+        deadline = time.monotonic() + clusters.CALL_SECONDS
+        sock = await http.open_socket(
+            address=self._cluster.system.gateways[0].listen,
+            source=None,
+            deadline=deadline,
+        )
+        received = b""
+        async with sock, curio.timeout_after(clusters.CALL_SECONDS):
+            await sock.sendall(data)
+            while piece := await sock.recv(65536):
+                received += piece
+        self._text += f"> {data!r}\n"
+        for line in received.decode().splitlines():
+            self._text += f"< {line}\n"
+        self._text += "\n"
+
+    def write(self, name: str, document: object) -> None:
+        """Writes a document for the commands."""
+        (self._folder / name).write_text(json.dumps(document))
+
+
+def compare(text: str) -> None:
+    """Compares a transcript with the golden file, or rewrites that."""
+    if os.environ.get(REWRITE):
+        GOLDEN.write_text(text)
+    difference = difflib.unified_diff(
+        GOLDEN.read_text().splitlines(),
+        text.splitlines(),
+        "golden/session.txt",
+        "this run",
+        lineterm="",
+    )
+    assert not (lines := list(difference)), "\n".join(lines)
+
+
+async def run_commands(cluster, transcript):
+    document = cluster.system.deployment.build_document()
+    document["services"][0]["queue_limit"] = 50
+    transcript.write("good.json", document)
+    bad = cluster.system.deployment.build_document()
+    bad["services"][0]["timeout_ms"] = -1
+    bad["services"][1]["servers"][0]["zone"] = "d"
+    bad["colour"] = "red"
+    transcript.write("bad.json", bad)
+    await transcript.read(
+        ("config", "check", "good.json"),
+        ("config", "check", "bad.json"),
+        ("config", "apply", "bad.json", "--base=1"),
+        ("config", "apply", "good.json"),
+    )
+    await transcript.command(
+        "config", "apply", "good.json", "--base=1", "-y", "-m", "short queue"
+    )
+    document["services"][0]["queue_limit"] = 60
+    transcript.write("late.json", document)
+    await transcript.command("config", "apply", "late.json", "--base=1", "-y")
+    await transcript.command("zone", "out", "b")
+    await transcript.command("zone", "out", "d")
+    await transcript.command("zone", "in", "b")
+    await transcript.read(
+        ("config", "show"), ("config", "history"), ("status",)
+    )
+
+
+async def run_requests(transcript):
+    lookup = b"/v1/addresses?service=catalogue&zone=a"
+    await transcript.call("", target=lookup)
+    await transcript.call("", target=b"/v1/addresses?service=catalogue")
+    await transcript.call("catalogue")
+    await transcript.call("nothing")
+    await transcript.call("catalogue", headers=((b"request-deadline", b"x"),))
+    await transcript.send(b"GET item HTTP\r\n\r\n")
+    for body in (b"pole", b"pole", b"another pole"):
+        await transcript.call(
+            "ledger", method=b"POST", body=body, headers=(KEY,)
+        )
+
+
+async def run_without_platform(cluster, transcript):
+    await cluster.set_platform_faults(down=True)
+    await transcript.read(("config", "show"), ("zone", "out", "a"))
+    await transcript.call("catalogue")
+    await transcript.call(
+        "ledger",
+        method=b"POST",
+        headers=((b"idempotency-key", b"order-2"),),
+    )
+
+
+def test_session_is_as_recorded(tmp_path):
+    """Guards against changed messages, exit codes and refusals."""
+
+    async def scenario(cluster):
+        transcript = Transcript(cluster, tmp_path)
+        await run_commands(cluster, transcript)
+        await run_requests(transcript)
+        await run_without_platform(cluster, transcript)
+        compare(transcript.text())
+
+    clusters.run(tmp_path, scenario, deployment=DEPLOYMENT, gateways=3)
--- /dev/null
+++ b/tests/test_traces.py
@@ -0,0 +1,237 @@
+"""Replays recorded traces against the outcomes that they state.
+
+A trace is a JSON Lines file; each line has `at_ms` (since the start) and
+`do`:
+
+- `request`: one call; `gateways` are tried in turn, as a caller does with the
+  addresses of its lookup. The service's method and key come from the plan.
+- `phase`: names what follows and states its outcome: the least share of
+  idempotent and of keyed requests that must succeed.
+- `kill_home`, `pause_home`, `resume`: the gateway that holds a home.
+- `zone_out`, `zone_in`, `platform_down`, `platform_up`.
+- `server`: a `standins.ServerChange` of all servers of a service in a zone.
+
+In every phase no keyed request may run twice, and one that was refused as
+not-run must not have run.
+"""
+
+import collections
+import dataclasses
+import json
+import pathlib
+import time
+from typing import Any
+
+import curio
+import pytest
+
+import banyandale_http as http
+import banyandale_standins as standins
+import cluster as clusters
+
+TRACES = sorted((pathlib.Path(__file__).parent / "traces").glob("*.jsonl"))
+REQUEST_SECONDS = 4.0
+
+DEPLOYMENT = standins.Deployment(
+    name="traces",
+    zones=("a", "b", "c"),
+    gateways=6,
+    connections=200,
+    services=(
+        standins.ServicePlan(
+            name="catalogue",
+            servers=6,
+            priority=1,
+            profile=standins.ServiceProfile(mean_ms=10),
+        ),
+        standins.ServicePlan(
+            name="ledger",
+            servers=3,
+            priority=0,
+            profile=standins.ServiceProfile(mean_ms=10),
+            method="POST",
+            keyed=True,
+        ),
+    ),
+    cold=standins.ColdSettings(warm_requests=0),
+    neighbours=standins.EpisodeSettings(share=0),
+)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Result:
+    """What became of one request.
+
+    Attributes:
+        phase: Phase in which it was sent.
+        key: Its idempotency key, or None for an idempotent request.
+        outcome: "ok", "not-run" or "unknown".
+        reason: Why it did not succeed.
+    """
+
+    phase: str
+    key: str | None
+    outcome: str
+    reason: str = ""
+
+
+class Replayer:
+    """Runs one trace against a cluster."""
+
+    def __init__(self, cluster: clusters.Cluster) -> None:
+        self._cluster = cluster
+        self._plans = {item.name: item for item in DEPLOYMENT.services}
+        self._gateways = {item.name: item for item in cluster.system.gateways}
+        self._phase = ""
+        self._paused: standins.GatewayPlan | None = None
+        self._out: set[str] = set()
+        self.outcomes: dict[str, dict[str, float]] = {}
+        self.results: list[Result] = []
+
+    async def run(self, lines: list[dict[str, Any]]) -> None:
+        """Runs all lines at their times; waits for all requests."""
+        start = time.monotonic()
+        async with curio.TaskGroup() as group:
+            for number, line in enumerate(lines):
+                at = start + line["at_ms"] / 1000
+                await curio.sleep(max(at - time.monotonic(), 0.0))
+                if line["do"] == "phase":
+                    self._phase = line["name"]
+                    self.outcomes[self._phase] = line["outcome"]
+                elif line["do"] == "request":
+                    await group.spawn(self._request, number, line, self._phase)
+                else:
+                    await group.spawn(self._act, line)
+
+    async def _act(self, line: dict[str, Any]) -> None:
+        match line["do"]:
+            case "kill_home":
+                self._cluster.kill(await self._find_home(line))
+            case "pause_home":
+                self._paused = await self._find_home(line)
+                self._cluster.pause(self._paused)
+            case "resume":
+                self._cluster.resume(self._paused)
+            case "zone_out":
+                self._out.add(line["zone"])
+                await self._cluster.system.apply_zones(out=sorted(self._out))
+            case "zone_in":
+                self._out.discard(line["zone"])
+                await self._cluster.system.apply_zones(out=sorted(self._out))
+            case "platform_down":
+                await self._cluster.set_platform_faults(down=True)
+            case "platform_up":
+                await self._cluster.set_platform_faults(down=False)
+            case "server":
+                for address in self._cluster.servers(
+                    line["service"], line["zone"]
+                ):
+                    await self._cluster.change_server(address, **line["change"])
+            case other:
+                raise ValueError(f"unknown action {other!r}")
+
+    async def _find_home(self, line: dict[str, Any]) -> standins.GatewayPlan:
+        """Returns the holder of a home, also while leases have expired."""
+        for gateway in self._gateways.values():
+            page = await self._cluster.status(gateway)
+            for home in page["homes"]:
+                if (home["service"], home["zone"]) == (
+                    line["service"],
+                    line["zone"],
+                ):
+                    return gateway
+        raise ValueError(f"no home for {line}")
+
+    async def _request(
+        self, number: int, line: dict[str, Any], phase: str
+    ) -> None:
+        plan = self._plans[line["service"]]
+        key = f"line-{number}" if plan.keyed else None
+        result = Result(phase=phase, key=key, outcome="not-run")
+        deadline = time.monotonic() + REQUEST_SECONDS
+        for name in line["gateways"]:
+            await self._try(name, plan, number, result, deadline)
+            # What may have run is sent again only where that is safe.
+            if result.outcome == "ok" or (
+                result.outcome == "unknown" and key is not None
+            ):
+                break
+        self.results.append(result)
+
+    async def _try(
+        self,
+        name: str,
+        plan: standins.ServicePlan,
+        number: int,
+        result: Result,
+        deadline: float,
+    ) -> None:
+        target = b"/line/%d" % number
+        headers = ()
+        if result.key is not None:
+            headers = ((b"idempotency-key", result.key.encode()),)
+        try:
+            response = await self._cluster.call(
+                self._gateways[name],
+                plan.name,
+                method=plan.method.encode(),
+                target=target,
+                headers=headers,
+                seconds=deadline - time.monotonic(),
+            )
+        except http.HttpError as error:
+            result.outcome, result.reason = error.run.value, error.code
+            return
+        if response.status == 200:
+            assert standins.find_fault(target, response.body) is None
+            result.outcome, result.reason = "ok", ""
+            return
+        mark, reason = clusters.read_reason(response)
+        result.outcome, result.reason = mark or "unknown", reason or ""
+
+
+def check_shares(replayer: Replayer) -> None:
+    """Checks the shares that each phase states."""
+    for phase, outcome in replayer.outcomes.items():
+        for name, keyed in (("idempotent_ok", False), ("keyed_ok", True)):
+            found = [
+                item
+                for item in replayer.results
+                if item.phase == phase and (item.key is not None) == keyed
+            ]
+            ok = sum(item.outcome == "ok" for item in found)
+            failures = collections.Counter(
+                (item.outcome, item.reason)
+                for item in found
+                if item.outcome != "ok"
+            )
+            print(f"{phase}: {name} {ok} of {len(found)}, {dict(failures)}")
+            assert found
+            assert ok >= outcome[name] * len(found), failures
+
+
+async def check_effects(cluster, replayer: Replayer) -> None:
+    """Checks that nothing ran twice and that not-run is true."""
+    effects = await cluster.system.read_effects()
+    keyed = [item for item in replayer.results if item.key is not None]
+    for item in keyed:
+        count = effects.get(item.key, 0)
+        assert count <= 1, item
+        if item.outcome == "ok":
+            assert count == 1, item
+        if item.outcome == "not-run":
+            assert count == 0, item
+
+
+@pytest.mark.parametrize("path", TRACES, ids=lambda path: path.stem)
+def test_trace_has_its_stated_outcome(path, tmp_path):
+    """Guards against lost, repeated and wrongly marked requests."""
+    lines = [json.loads(line) for line in path.read_text().splitlines()]
+
+    async def scenario(cluster):
+        replayer = Replayer(cluster)
+        await replayer.run(lines)
+        check_shares(replayer)
+        await check_effects(cluster, replayer)
+
+    clusters.run(tmp_path, scenario, deployment=DEPLOYMENT)
