gateway: one place for shared protocols and for broken exchanges

Cause: SnapshotSource and CallRouter stood in several modules, and the error of a broken exchange was built three times. Change: both protocols are in _calls.py; Attempt._fail builds the error. Conclusion: no change of behaviour.

--- a/libs/gateway/src/banyandale_gateway/_calls.py
+++ b/libs/gateway/src/banyandale_gateway/_calls.py
@@ -59,3 +59,17 @@
     head: http.ResponseHead
     body: bytes
     rest: BodyStream | None = None
+
+
+class CallRouter(Protocol):
+    """Runs calls."""
+
+    async def route(self, call: Call) -> Answer:
+        """Runs a call; see `Router.route`."""
+
+
+class SnapshotSource(Protocol):
+    """Gives the configuration in force."""
+
+    def current(self) -> config.Snapshot | None:
+        """Returns the configuration, or None before the first one."""
--- a/libs/gateway/src/banyandale_gateway/_handler.py
+++ b/libs/gateway/src/banyandale_gateway/_handler.py
@@ -1,7 +1,6 @@
 """Turns callers' requests into calls and runs them."""
 
 import time
-from typing import Protocol
 import uuid
 
 import banyandale_config as config
@@ -16,28 +15,14 @@
 HOST = b"host"
 
 
-class CallRouter(Protocol):
-    """Runs calls."""
-
-    async def route(self, call: calls.Call) -> calls.Answer:
-        """Runs a call; see `Router.route`."""
-
-
-class SnapshotSource(Protocol):
-    """Gives the configuration in force."""
-
-    def current(self) -> config.Snapshot | None:
-        """Returns the configuration, or None before the first one."""
-
-
 class Handler:
     """Builds calls from requests and applies the service's limits."""
 
     def __init__(
         self,
         *,
-        configuration: SnapshotSource,
-        router: CallRouter,
+        configuration: calls.SnapshotSource,
+        router: calls.CallRouter,
         limits: rates.RateLimits,
         clock: core.Clock,
         metrics: core.Metrics,
--- a/libs/gateway/src/banyandale_gateway/_keyed.py
+++ b/libs/gateway/src/banyandale_gateway/_keyed.py
@@ -1,7 +1,6 @@
 """Runs calls with an idempotency key at most once."""
 
 import time
-from typing import Protocol
 
 import curio
 
@@ -17,13 +16,6 @@
 IN_PROGRESS_POLL_SECONDS = 0.1
 
 
-class CallRouter(Protocol):
-    """Runs calls."""
-
-    async def route(self, call: calls.Call) -> calls.Answer:
-        """Runs a call; see `Router.route`."""
-
-
 class KeyedRouter:
     """Passes calls on; those with a key only after claiming it.
 
@@ -32,7 +24,7 @@
     """
 
     def __init__(
-        self, *, router: CallRouter, claim_router: claims.ClaimRouter
+        self, *, router: calls.CallRouter, claim_router: claims.ClaimRouter
     ) -> None:
         self._router = router
         self._claims = claim_router
--- a/libs/gateway/src/banyandale_gateway/_local.py
+++ b/libs/gateway/src/banyandale_gateway/_local.py
@@ -7,9 +7,9 @@
 from typing import Protocol
 import urllib.parse
 
-import banyandale_config as config
 import banyandale_core as core
 from banyandale_gateway import _callers as callers
+from banyandale_gateway import _calls as calls
 from banyandale_gateway import _errors as errors
 from banyandale_gateway import _lookup as lookup
 import banyandale_http as http
@@ -22,13 +22,6 @@
         """Returns the gateways for callers of a service."""
 
 
-class SnapshotSource(Protocol):
-    """Gives the configuration in force."""
-
-    def current(self) -> config.Snapshot | None:
-        """Returns the configuration, or None before the first one."""
-
-
 class LocalEndpoints:
     """Serves `/v1/addresses` and `/v1/status`."""
 
@@ -36,7 +29,7 @@
         self,
         *,
         membership: Membership,
-        configuration: SnapshotSource,
+        configuration: calls.SnapshotSource,
         status: Callable[[], Mapping[str, Any]],
         clock: core.Clock,
         metrics: core.Metrics,
--- a/libs/gateway/src/banyandale_gateway/_sender.py
+++ b/libs/gateway/src/banyandale_gateway/_sender.py
@@ -74,13 +74,7 @@
             raise errors.ServerLostError(str(error)) from error
         except http.SendError as error:
             self._dispatcher.mark_lost(self.address)
-            await self._end(dispatch.OutcomeKind.LOST)
-            raise errors.ExchangeFailedError(
-                str(error), cause=error.code, run=error.run
-            ) from error
-        except errors.CallError:
-            await self._end(dispatch.OutcomeKind.CANCELLED)
-            raise
+            raise await self._fail(error) from error
         except BaseException:
             await self._end(dispatch.OutcomeKind.CANCELLED)
             raise
@@ -139,10 +133,7 @@
         except http.HttpError as error:
             if isinstance(error, http.TruncatedResponseError):
                 self._dispatcher.mark_lost(self.address)
-            await self._end(dispatch.OutcomeKind.LOST)
-            raise errors.ExchangeFailedError(
-                str(error), cause=error.code, run=error.run
-            ) from error
+            raise await self._fail(error) from error
         except errors.CallError:
             await self._end(dispatch.OutcomeKind.FAILED)
             raise
@@ -223,10 +214,7 @@
         try:
             chunk = await self._read_chunk(deadline=deadline)
         except http.HttpError as error:
-            await self._end(dispatch.OutcomeKind.LOST)
-            raise errors.ExchangeFailedError(
-                str(error), cause=error.code, run=error.run
-            ) from error
+            raise await self._fail(error) from error
         except errors.CallError:
             await self._end(dispatch.OutcomeKind.FAILED)
             raise
@@ -234,6 +222,13 @@
             await self._end(dispatch.OutcomeKind.OK)
         return chunk
 
+    async def _fail(self, error: http.HttpError) -> errors.ExchangeFailedError:
+        """Ends the attempt; returns the error of a broken exchange."""
+        await self._end(dispatch.OutcomeKind.LOST)
+        return errors.ExchangeFailedError(
+            str(error), cause=error.code, run=error.run
+        )
+
     async def close(self) -> None:
         """Gives up; closing the connection cancels the work."""
         await self._end(dispatch.OutcomeKind.CANCELLED)
--- a/libs/gateway/src/banyandale_gateway/_serving.py
+++ b/libs/gateway/src/banyandale_gateway/_serving.py
@@ -17,18 +17,14 @@
         """Runs a call; see `Router.serve_peer`."""
 
 
-class SnapshotSource(Protocol):
-    """Gives the configuration in force."""
-
-    def current(self) -> config.Snapshot | None:
-        """Returns the configuration, or None before the first one."""
-
-
 class PeerCallServer:
     """Turns calls of peers into calls of the router."""
 
     def __init__(
-        self, *, configuration: SnapshotSource, call_router: PeerCallRouter
+        self,
+        *,
+        configuration: calls.SnapshotSource,
+        call_router: PeerCallRouter,
     ) -> None:
         self._configuration = configuration
         self._router = call_router
