gateway: end when a listening address cannot be used

Cause: the accepting task failed in the background and the gateway ran on without callers, found in the read-through.

--- a/libs/gateway/src/banyandale_gateway/_callers.py
+++ b/libs/gateway/src/banyandale_gateway/_callers.py
@@ -75,6 +75,7 @@
         self._connections: set[http.ServerConnection] = set()
         self._active: dict[int, _ActiveCall] = {}
         self._draining = False
+        self._listener: curio.io.Socket | None = None
 
     @property
     def active_calls(self) -> int:
@@ -93,9 +94,17 @@
             connection.used_at < quiet_since for connection in self._connections
         )
 
+    def listen(self) -> None:
+        """Opens the listening socket.
+
+        Raises:
+            OSError: The address is not of this VM, or is in use.
+        """
+        self._listener = http.open_listener(self._address)
+
     async def run(self) -> None:
-        """Accepts connections until cancelled."""
-        listener = http.open_listener(self._address)
+        """Accepts connections until cancelled; `listen` comes first."""
+        listener = self._listener
         checker = await curio.spawn(self._check_callers, daemon=True)
         try:
             while True:
--- a/libs/gateway/src/banyandale_gateway/_errors.py
+++ b/libs/gateway/src/banyandale_gateway/_errors.py
@@ -4,6 +4,12 @@
 import banyandale_core as core
 
 
+class ListenError(core.CodedError):
+    """A listening address cannot be used, so the gateway does not start."""
+
+    code = "listen_failed"
+
+
 class CallError(core.CodedError):
     """A call ended without a response of a backend server.
 
--- a/libs/gateway/src/banyandale_gateway/_gateway.py
+++ b/libs/gateway/src/banyandale_gateway/_gateway.py
@@ -17,6 +17,7 @@
 from banyandale_gateway import _budgets as budgets
 from banyandale_gateway import _callers as callers
 from banyandale_gateway import _config_peers as config_peers
+from banyandale_gateway import _errors as errors
 from banyandale_gateway import _handler as handler
 from banyandale_gateway import _homes as homes
 from banyandale_gateway import _keyed as keyed
@@ -317,7 +318,12 @@
             self._homes.refresh(snapshot)
 
     async def run(self) -> None:
-        """Serves until SIGTERM or SIGINT, then stops without cutting calls."""
+        """Serves until SIGTERM or SIGINT, then stops without cutting calls.
+
+        Raises:
+            ListenError: A listening address cannot be used.
+        """
+        self._listen()
         loops = (
             self._keeper.run,
             self._follower.run,
@@ -338,6 +344,15 @@
         for task in tasks:
             await task.cancel(blocking=False)
 
+    def _listen(self) -> None:
+        try:
+            self._callers.listen()
+            self._node.listen()
+        except OSError as error:
+            raise errors.ListenError(
+                f"{self._own.listen} or {self._own.peer_listen}: {error}"
+            ) from error
+
     async def _refresh_all(self) -> None:
         while True:
             self._refresh()
