--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -14,7 +14,7 @@
             "ID": "gw",
             "ZONE": "a",
             "LISTEN": address,
-            "PEER_LISTEN": address,
+            "PEER_LISTEN": "127.0.0.2:19999",
             "PLATFORM": "127.0.0.1:1",
             "PEER_SECRET": "0123456789abcdef",
         }
