standins: leave slopes out of the page of measurements

Cause: the page took slopes.json for a comparison of policies and failed. Change: it is left out; docs/CAPACITY.md uses it.

--- a/libs/standins/src/banyandale_standins/_measure.py
+++ b/libs/standins/src/banyandale_standins/_measure.py
@@ -382,6 +382,8 @@
         if path.stem == OVERHEAD:
             added = raw
             continue
+        if path.stem == SLOPES:
+            continue
         medians = {
             phase: take_medians(raw["runs"], phase) for phase in MEASURED
         }
