router: let calls wait out a home that moves

Ruled out: busy queues; the load is 30%. Change: refusals that only show old knowledge have a bound of their own (80 reroutes, 50 ms between rounds); those by busy homes keep the bound of 4.

--- a/libs/gateway/src/banyandale_gateway/_peers.py
+++ b/libs/gateway/src/banyandale_gateway/_peers.py
@@ -17,17 +17,23 @@
 # Codes of refusals after which another home may take the call.
 REROUTABLE_CODES = frozenset(
     {
-        errors.NotHomeError.code,
         errors.HomeBusyError.code,
         errors.NoServerHereError.code,
-        errors.LeaseExpiredError.code,
-        errors.StaleAssignmentError.code,
         "queue_full",
         "displaced",
         "deadline_unreachable",
     }
 )
 
+# Codes of refusals that only say that this gateway's knowledge was old.
+STALE_CODES = frozenset(
+    {
+        errors.NotHomeError.code,
+        errors.LeaseExpiredError.code,
+        errors.StaleAssignmentError.code,
+    }
+)
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Pending:
@@ -156,10 +162,11 @@
 
 
 def _translate_remote(error: peer.RemoteError) -> errors.CallError:
-    if error.run is core.RunMark.NOT_RUN and (
-        error.remote_code in REROUTABLE_CODES
-    ):
-        return errors.HomeBusyError(str(error))
+    if error.run is core.RunMark.NOT_RUN:
+        if error.remote_code in STALE_CODES:
+            return errors.NotHomeError(str(error))
+        if error.remote_code in REROUTABLE_CODES:
+            return errors.HomeBusyError(str(error))
     return errors.RemoteCallError(
         str(error), remote_code=error.remote_code, run=error.run
     )
--- a/libs/gateway/src/banyandale_gateway/_router.py
+++ b/libs/gateway/src/banyandale_gateway/_router.py
@@ -20,6 +20,9 @@
 # A call moves on to another home at most this often when a home refuses it
 # without running it.
 MAX_REROUTES = 4
+# Homes are asked again every 50 ms, three at a time in three zones, and others
+# learn of a moved home within about a second.
+MAX_STALE_REROUTES = 80
 # How often a call looks again for a home of its service, while there is none.
 HOME_POLL_SECONDS = 0.05
 # A home in another zone must promise to be faster by this much, since its
@@ -54,15 +57,30 @@
     Attributes:
         failed_servers: Servers at which an attempt failed.
         refused_homes: Peer and zone of homes that refused the call.
-        reroutes: How often it moved on to another home.
+        reroutes: How often it moved on from a busy home.
+        stale_reroutes: How often it moved on because a home had moved.
         unknown: Error of the last attempt that may have run, if any.
     """
 
     failed_servers: set[str] = dataclasses.field(default_factory=set)
     refused_homes: set[tuple[str, str]] = dataclasses.field(default_factory=set)
     reroutes: int = 0
+    stale_reroutes: int = 0
     unknown: errors.CallError | None = None
 
+    def count_reroute(self, error: errors.HomeUnavailableError) -> bool:
+        """Counts a move to another home; returns whether it is allowed.
+
+        Refusals by busy homes are load, so few are allowed. While a home
+        moves, gateways refuse because the sender's knowledge is old; that
+        passes within about a second.
+        """
+        if isinstance(error, errors.HomeBusyError | errors.NoServerHereError):
+            self.reroutes += 1
+            return self.reroutes <= MAX_REROUTES
+        self.stale_reroutes += 1
+        return self.stale_reroutes <= MAX_STALE_REROUTES
+
     def note(self, error: errors.CallError) -> None:
         """Remembers an error whose attempt may have run."""
         if error.run is core.RunMark.UNKNOWN:
@@ -156,8 +174,7 @@
         if time.monotonic() >= call.deadline:
             return False
         if isinstance(error, errors.HomeUnavailableError):
-            progress.reroutes += 1
-            if progress.reroutes > MAX_REROUTES:
+            if not progress.count_reroute(error):
                 return False
             self._metrics.incr(f"reroute.{error.code}")
             return True
