tests: derive the deployment of the traces from the common one

Cause: test_traces.py repeated the deployment of tests/cluster.py with half of the service times and warm servers. Change: it is derived by slow_down and start_warm; the values are the same. Conclusion: no change of behaviour.

--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -32,30 +32,7 @@
 TRACES = sorted((pathlib.Path(__file__).parent / "traces").glob("*.jsonl"))
 REQUEST_SECONDS = 4.0
 
-DEPLOYMENT = standins.Deployment(
-    name="traces",
-    zones=("a", "b", "c"),
-    gateways=6,
-    connections=200,
-    services=(
-        standins.ServicePlan(
-            name="catalogue",
-            servers=6,
-            priority=1,
-            profile=standins.ServiceProfile(mean_ms=10),
-        ),
-        standins.ServicePlan(
-            name="ledger",
-            servers=3,
-            priority=0,
-            profile=standins.ServiceProfile(mean_ms=10),
-            method="POST",
-            keyed=True,
-        ),
-    ),
-    cold=standins.ColdSettings(warm_requests=0),
-    neighbours=standins.EpisodeSettings(share=0),
-)
+DEPLOYMENT = clusters.DEPLOYMENT.slow_down(0.5).start_warm()
 
 
 @dataclasses.dataclass(kw_only=True)
