--- /dev/null
+++ b/libs/direct/src/banyandale_direct/_digests.py
@@ -0,0 +1,167 @@
+"""Datagrams between gateways, and their encoding."""
+
+from collections.abc import Sequence
+import dataclasses
+import importlib.resources
+import ipaddress
+
+import capnp
+
+from banyandale_direct import _members as members
+from banyandale_direct import _replicas as replicas
+import banyandale_platform as platform
+
+capnp.remove_import_hook()
+
+_SCHEMA = capnp.load(
+    str(importlib.resources.files("banyandale_direct") / "members.capnp")
+)
+
+# Traversal limit for reading a message, in words of 8 bytes.
+MAX_MESSAGE_WORDS = 4 * 1024 * 1024
+
+
+class MalformedDigestError(ValueError):
+    """The bytes are not a message between gateways."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Digest:
+    """What a gateway tells another one.
+
+    Attributes:
+        sender: IP number of the sender.
+        reading: Whether the sender reads the store and is answered.
+        members: Gateways that the sender knows to be alive.
+        held: Store version up to which the sender holds each kind.
+        deltas: Changes that the sender has just learned.
+    """
+
+    sender: str
+    reading: bool
+    members: tuple[members.Member, ...]
+    held: dict[str, int]
+    deltas: tuple[replicas.Delta, ...] = ()
+
+
+def _pack_ip(ip: str) -> int:
+    return int(ipaddress.IPv4Address(ip))
+
+
+def _unpack_ip(number: int) -> str:
+    return str(ipaddress.IPv4Address(number))
+
+
+def encode_digest(digest: Digest, *, zones: Sequence[str]) -> bytes:
+    """Returns the datagram of a digest.
+
+    Args:
+        digest: The digest.
+        zones: Sorted names of all zones.
+    """
+    message = _SCHEMA.Digest.new_message()
+    message.sender = _pack_ip(digest.sender)
+    message.reading = digest.reading
+    entries = message.init("members", len(digest.members))
+    for entry, member in zip(entries, digest.members, strict=True):
+        entry.ip = _pack_ip(member.ip)
+        entry.zone = zones.index(member.zone)
+        entry.ready = member.ready
+        entry.beat = member.beat
+        entry.startedUnixMs = member.started_unix_ms
+    held = message.init("held", len(digest.held))
+    for entry, (kind, version) in zip(held, digest.held.items(), strict=True):
+        entry.kind = kind
+        entry.version = version
+    deltas = message.init("deltas", len(digest.deltas))
+    for entry, delta in zip(deltas, digest.deltas, strict=True):
+        _fill_delta(entry, delta)
+    return message.to_bytes_packed()
+
+
+def decode_digest(data: bytes, *, zones: Sequence[str]) -> Digest:
+    """Reads a datagram.
+
+    Raises:
+        MalformedDigestError: The datagram is not a digest.
+    """
+    try:
+        message = _SCHEMA.Digest.from_bytes_packed(
+            data, traversal_limit_in_words=MAX_MESSAGE_WORDS
+        )
+        return Digest(
+            sender=_unpack_ip(message.sender),
+            reading=message.reading,
+            members=tuple(
+                members.Member(
+                    ip=_unpack_ip(entry.ip),
+                    zone=zones[entry.zone],
+                    ready=entry.ready,
+                    beat=entry.beat,
+                    started_unix_ms=entry.startedUnixMs,
+                )
+                for entry in message.members
+            ),
+            held={entry.kind: entry.version for entry in message.held},
+            deltas=tuple(_read_delta(entry) for entry in message.deltas),
+        )
+    except (capnp.KjException, ValueError, IndexError) as error:
+        raise MalformedDigestError(str(error)) from error
+
+
+def _fill_delta(entry: object, delta: replicas.Delta) -> None:
+    entry.kind = delta.kind
+    entry.since = delta.since
+    entry.version = delta.version
+    entry.complete = delta.complete
+    items = entry.init("items", len(delta.changes))
+    for item, change in zip(items, delta.changes, strict=True):
+        item.name = change.object.name
+        item.version = change.object.version
+        item.deleted = change.type is platform.ChangeType.DELETE
+        item.value = change.object.value
+
+
+def _read_delta(entry: object) -> replicas.Delta:
+    return replicas.Delta(
+        kind=entry.kind,
+        since=entry.since,
+        version=entry.version,
+        complete=entry.complete,
+        changes=tuple(
+            platform.Change(
+                type=platform.ChangeType.DELETE
+                if item.deleted
+                else platform.ChangeType.PUT,
+                object=platform.StoredObject(
+                    kind=entry.kind,
+                    name=item.name,
+                    version=item.version,
+                    value=bytes(item.value),
+                ),
+            )
+            for item in entry.items
+        ),
+    )
+
+
+def encode_delta(delta: replicas.Delta) -> bytes:
+    """Returns the body in which a delta is handed over on request."""
+    message = _SCHEMA.Delta.new_message()
+    _fill_delta(message, delta)
+    return message.to_bytes_packed()
+
+
+def decode_delta(data: bytes) -> replicas.Delta:
+    """Reads the body of a delta.
+
+    Raises:
+        MalformedDigestError: The bytes are not a delta.
+    """
+    try:
+        message = _SCHEMA.Delta.from_bytes_packed(
+            data, traversal_limit_in_words=MAX_MESSAGE_WORDS
+        )
+        return _read_delta(message)
+    except (capnp.KjException, ValueError) as error:
+        raise MalformedDigestError(str(error)) from error
--- a/libs/direct/src/banyandale_direct/_following.py
+++ b/libs/direct/src/banyandale_direct/_following.py
@@ -1,240 +1,288 @@
-"""Keeps configuration, servers and zones in step with the store."""
+"""Keeps copies of what the store holds, read there or from other gateways."""
 
 from collections.abc import Callable
 import random
 import time
+from urllib import parse
 
 import curio
 
 import banyandale_core as core
-from banyandale_direct import _configuration as configuration
+from banyandale_direct import _digests as digests
+from banyandale_direct import _gossip as gossip
 from banyandale_direct import _members as members
-from banyandale_direct import _protocols as protocols
-from banyandale_direct import _registry as registry
-from banyandale_direct import _settings as settings
+from banyandale_direct import _readers as readers
+from banyandale_direct import _replicas as replicas
+import banyandale_http as http
 import banyandale_platform as platform
 
-# Pauses between tries to register double from the first to the longest.
-FIRST_PAUSE_SECONDS = 0.2
-LONGEST_PAUSE_SECONDS = 2.0
+# How often the gateway decides whether it reads the store.
+STEP_SECONDS = 0.2
+# How long one watch waits. With the time that a call may take, a watch on a
+# connection that went silent ends within the users' three seconds.
+WATCH_SECONDS = 1.5
+# Pauses after failed calls double from the first to the longest; each is
+# spread over 50% to 100%. The first two gateways of a zone try more often
+# than the rest, since each call is paid for.
+FIRST_PAUSE_SECONDS = 0.1
+LONGEST_PAUSE_SECONDS = 0.8
+LONGEST_REST_PAUSE_SECONDS = 2.0
+EAGER_RANKS = 2
+# Time for fetching a copy from another gateway.
+FETCH_SECONDS = 1.0
+MAX_DELTA_BYTES = 16 * 1024 * 1024
+REPLICA_PATH = "/replicas/"
+OK_STATUS = 200
+NO_CONTENT_STATUS = 204
+NOT_FOUND_STATUS = 404
+
+
+ListingConsumer = Callable[[str, tuple[platform.StoredObject, ...], int], None]
 
 
 class Following:
-    """Watches the store and applies what it says."""
+    """Copies of the followed kinds, and how they are kept current."""
 
     def __init__(
         self,
         *,
         store: platform.ObjectStore,
-        documents: protocols.StoreDialect,
-        servers: registry.Registry,
-        loaded: settings.Settings,
-        on_configuration: Callable[[configuration.Configuration], None],
+        kinds: tuple[str, ...],
+        table: members.MemberTable,
+        peer_port: int,
+        on_listing: ListingConsumer,
+        on_change: Callable[[platform.Change], None],
         events: core.EventLog,
         metrics: core.Metrics,
         random_source: random.Random,
     ) -> None:
+        """Creates empty copies.
+
+        Args:
+            store: The platform's store.
+            kinds: Kinds to follow; the first one is tried first after an
+                outage.
+            table: The other gateways.
+            peer_port: Port on which gateways hand over copies.
+            on_listing: Gets kind, all objects and version of a new copy.
+            on_change: Gets each change of a copy.
+            events: Log of the process.
+            metrics: Counters of the process.
+            random_source: Source of the spread of pauses.
+        """
         self._store = store
-        self._documents = documents
-        self._servers = servers
-        self._settings = loaded
-        self._on_configuration = on_configuration
+        self._table = table
+        self._peer_port = peer_port
+        self._on_listing = on_listing
+        self._on_change = on_change
         self._events = events
         self._metrics = metrics
         self._random = random_source
-        self._version: int | None = None
-        self._zones_out: set[str] = set()
-
-    def watchers(self) -> list[platform.Watcher]:
-        """Returns one watcher per kind that the gateway follows."""
-        documents = self._documents
-        return [
-            self._watcher(
-                documents.configuration_kind,
-                self._take_configurations,
-                self._take_configuration,
-            ),
-            self._watcher(
-                documents.server_kind, self._take_servers, self._take_server
-            ),
-            self._watcher(
-                documents.zone_out_kind, self._take_zones, self._take_zone
-            ),
-        ]
-
-    def _watcher(
-        self,
-        kind: str,
-        on_listing: Callable[[platform.Listing], None],
-        on_change: Callable[[platform.Change], None],
-    ) -> platform.Watcher:
-        return platform.Watcher(
-            store=self._store,
-            kind=kind,
-            on_listing=on_listing,
-            on_change=on_change,
-            on_state=lambda up, reason: self._report_state(kind, up, reason),
-            random_source=self._random,
-        )
+        self._replicas = {kind: replicas.Replica(kind=kind) for kind in kinds}
+        self._first_kind = kinds[0]
+        self._election = readers.ReaderElection(started_at=time.monotonic())
+        self._reading: set[str] = set()
+        self._fetching: set[str] = set()
+        # Kinds whose list has to be read again.
+        self._expired: set[str] = set()
+        self._store_answers = True
+        self._answered_at = 0.0
+        self._pause = FIRST_PAUSE_SECONDS
+        self._retry_at = 0.0
+        self.gossip: gossip.Gossip | None = None
+
+    def held(self) -> dict[str, int]:
+        """Returns the version up to which each kind is held."""
+        return {
+            kind: replica.version
+            for kind, replica in self._replicas.items()
+            if replica.version is not None
+        }
 
-    def _report_state(self, kind: str, up: bool, reason: str) -> None:
-        self._metrics.incr(f"store_{'regained' if up else 'lost'}:{kind}")
-        self._events.write_state(
-            "store_regained" if up else "store_lost", kind=kind, reason=reason
+    def should_read(self) -> bool:
+        """Whether this gateway reads the store now."""
+        now = time.monotonic()
+        return self._election.should_read(
+            now=now, rank=self._table.rank(now=now)
         )
 
-    def _take_configurations(self, listing: platform.Listing) -> None:
-        for stored in listing.objects:
-            self._apply(stored)
+    async def run(self) -> None:
+        """Decides again and again who reads, for ever."""
+        told_at = 0.0
+        while True:
+            now = time.monotonic()
+            reads = self.should_read()
+            if reads:
+                await self._start_reading()
+            answered = bool(self._reading) and self._store_answers
+            self.gossip.reading = reads and answered and self._answered_at > 0
+            if self.gossip.reading and now >= told_at + readers.TELL_SECONDS:
+                told_at = now
+                await self.gossip.tell_zone()
+            await curio.sleep(STEP_SECONDS)
 
-    def _take_configuration(self, change: platform.Change) -> None:
-        if change.type is platform.ChangeType.PUT:
-            self._apply(change.object)
+    async def _start_reading(self) -> None:
+        for kind in self._replicas:
+            if kind in self._reading:
+                continue
+            if not self._store_answers and kind != self._first_kind:
+                # One call tells whether the store is back.
+                continue
+            if time.monotonic() < self._retry_at:
+                continue
+            self._reading.add(kind)
+            await curio.spawn(self._read, kind, daemon=True)
 
-    def _apply(self, stored: platform.StoredObject) -> None:
+    async def _read(self, kind: str) -> None:
         try:
-            read = self._documents.read_configuration(stored)
-        except protocols.MalformedEntryError as error:
-            self._reject(stored, error)
-            return
-        if read is None:
-            return
-        if self._version is not None and read.version <= self._version:
+            while self.should_read():
+                await self._read_once(self._replicas[kind])
+                self._note_answer()
+        except platform.WatchExpiredError as error:
+            self._events.write("watch_expired", kind=kind, reason=str(error))
+            self._metrics.incr(f"watch_expired:{kind}")
+            self._expired.add(kind)
+            self._retry_at = time.monotonic() + FIRST_PAUSE_SECONDS
+        except platform.PlatformError as error:
+            self._note_failure(kind, error)
+        finally:
+            self._reading.discard(kind)
+
+    async def _read_once(self, replica: replicas.Replica) -> None:
+        if replica.version is None or replica.kind in self._expired:
+            listing = await self._store.list(kind=replica.kind)
+            self._metrics.incr(f"store_calls:list.{replica.kind}")
+            self._expired.discard(replica.kind)
+            if replica.apply_listing(listing):
+                self._on_listing(replica.kind, listing.objects, listing.version)
+                await self.gossip.tell_zone(remote=True)
             return
-        self._events.write_state(
-            "configuration",
-            version=read.version,
-            previous=self._version,
-            store_version=stored.version,
-            routes=sum(len(routes) for routes in read.hosts.values()),
-        )
-        self._version = read.version
-        self._metrics.gauge("configuration_version", read.version)
-        self._on_configuration(read)
-
-    def _reject(self, stored: platform.StoredObject, error: Exception) -> None:
-        self._metrics.incr(f"entry_rejected:{stored.kind}")
-        self._events.write(
-            "entry_rejected",
-            kind=stored.kind,
-            name=stored.name,
-            version=stored.version,
-            error=str(error),
+        self._metrics.incr(f"store_calls:watch.{replica.kind}")
+        since = replica.version
+        changes = await self._store.watch(
+            kinds=(replica.kind,),
+            since=since,
+            deadline=time.monotonic() + WATCH_SECONDS,
         )
+        news = replica.apply_changes(changes)
+        for change in news:
+            self._on_change(change)
+        if news:
+            delta = replica.delta(since)
+            if delta is not None:
+                await self.gossip.tell_zone((delta,), remote=True)
 
-    def _read_server(
-        self, stored: platform.StoredObject
-    ) -> registry.Server | None:
-        try:
-            return self._documents.read_server(
-                stored, zones=self._settings.regions
-            )
-        except protocols.MalformedEntryError as error:
-            self._reject(stored, error)
-            return None
-
-    def _take_servers(self, listing: platform.Listing) -> None:
-        read = (
-            (self._read_server(stored), stored.version)
-            for stored in listing.objects
-        )
-        self._servers.replace(
-            [(server, version) for server, version in read if server],
-            version=listing.version,
-            now=time.monotonic(),
-        )
-        self._events.write_state(
-            "servers_listed",
-            servers=len(listing.objects),
-            store_version=listing.version,
-        )
+    def _note_answer(self) -> None:
+        self._pause = FIRST_PAUSE_SECONDS
+        self._retry_at = 0.0
+        self._answered_at = time.monotonic()
+        if not self._store_answers:
+            self._store_answers = True
+            self._metrics.incr("store_regained")
+            self._events.write_state("store_regained", held=self.held())
 
-    def _take_server(self, change: platform.Change) -> None:
+    def _note_failure(self, kind: str, error: platform.PlatformError) -> None:
         now = time.monotonic()
-        stored = change.object
-        server = None
-        if change.type is platform.ChangeType.PUT:
-            server = self._read_server(stored)
-        if server is None:
-            changed = self._servers.remove(
-                stored.name, version=stored.version, now=now
-            )
-            state = "gone"
-        else:
-            changed = self._servers.put(server, version=stored.version, now=now)
-            state = "leaving" if server.leaving else "ready"
-        if changed:
-            self._events.write(
-                "server_entry",
-                server=stored.name,
-                state=state,
-                service=server.service if server else None,
-                cold_seconds=server.cold_seconds if server else None,
-                store_version=stored.version,
+        self._metrics.incr(f"store_failed:{error.code}")
+        self._retry_at = now + self._pause * self._random.uniform(0.5, 1.0)
+        eager = self._table.rank(now=now) < EAGER_RANKS
+        self._pause = min(
+            self._pause * 2,
+            LONGEST_PAUSE_SECONDS if eager else LONGEST_REST_PAUSE_SECONDS,
+        )
+        if self._store_answers:
+            self._store_answers = False
+            self._events.write_state(
+                "store_lost",
+                kind=kind,
+                reason=error.code,
+                error=str(error),
+                answered_seconds_ago=round(now - self._answered_at, 3),
             )
 
-    def _take_zones(self, listing: platform.Listing) -> None:
-        self._zones_out = {stored.name for stored in listing.objects}
-        self._use_zones(listing.version)
-
-    def _take_zone(self, change: platform.Change) -> None:
-        if change.type is platform.ChangeType.PUT:
-            self._zones_out.add(change.object.name)
-        else:
-            self._zones_out.discard(change.object.name)
-        self._use_zones(change.object.version)
+    async def hear(self, digest: digests.Digest) -> None:
+        """Takes over what another gateway tells."""
+        now = time.monotonic()
+        local = {m.ip for m in self._table.live_in_zone(now=now)}
+        if digest.sender in local:
+            own_key = members.rank_key(self._table.own.ip)
+            self._election.hear(
+                now=now,
+                ahead=members.rank_key(digest.sender) < own_key,
+                reading=digest.reading,
+            )
+        spread = digest.sender not in local
+        for delta in digest.deltas:
+            await self._apply(delta, spread=spread)
+        for kind, version in digest.held.items():
+            replica = self._replicas.get(kind)
+            if replica is None or kind in self._fetching:
+                continue
+            if replica.version is None or version > replica.version:
+                self._fetching.add(kind)
+                await curio.spawn(
+                    self._fetch, kind, digest.sender, spread, daemon=True
+                )
 
-    def _use_zones(self, version: int) -> None:
-        if self._zones_out == self._servers.zones_out:
+    async def _apply(self, delta: replicas.Delta, *, spread: bool) -> None:
+        replica = self._replicas.get(delta.kind)
+        if replica is None or not replica.fits(delta):
             return
-        self._servers.set_zones_out(self._zones_out)
-        self._events.write_state(
-            "zones_out", zones=sorted(self._zones_out), store_version=version
-        )
-
-    async def register(self, table: members.MemberTable) -> None:
-        """Writes this gateway's entry and reads those of the others.
-
-        Goes on until both have been done once.
-        """
-        pause = FIRST_PAUSE_SECONDS
-        while True:
-            try:
-                await self._write_entry(table.own)
-                listing = await self._store.list(
-                    kind=self._documents.member_kind
-                )
-            except platform.PlatformError as error:
-                self._metrics.incr(f"register_failed:{error.code}")
-                self._events.write(
-                    "register_failed", reason=error.code, error=str(error)
-                )
-                await curio.sleep(pause * self._random.uniform(0.5, 1.0))
-                pause = min(pause * 2, LONGEST_PAUSE_SECONDS)
-                continue
-            break
-        others = []
-        for stored in listing.objects:
-            try:
-                others.append(self._documents.read_member(stored))
-            except protocols.MalformedEntryError as error:
-                self._reject(stored, error)
-        table.introduce(others, now=time.monotonic())
-        self._events.write_state(
-            "registered", gateways=len(others), store_version=listing.version
-        )
+        since = replica.version
+        if delta.complete:
+            stored = tuple(change.object for change in delta.changes)
+            replica.apply_listing(
+                platform.Listing(version=delta.version, objects=stored)
+            )
+            self._on_listing(delta.kind, stored, delta.version)
+        else:
+            for change in replica.apply_changes(
+                platform.Changes(version=delta.version, changes=delta.changes)
+            ):
+                self._on_change(change)
+        if spread:
+            forward = replica.delta(since)
+            await self.gossip.tell_zone((forward,) if forward else ())
 
-    async def _write_entry(self, own: members.Member) -> None:
-        kind = self._documents.member_kind
-        value = self._documents.write_member(own)
+    async def _fetch(self, kind: str, ip: str, spread: bool) -> None:
+        """Asks another gateway for what this copy lacks."""
+        deadline = time.monotonic() + FETCH_SECONDS
+        replica = self._replicas[kind]
+        target = f"{REPLICA_PATH}{kind}"
+        if replica.version is not None:
+            target += f"?since={replica.version}"
+        connection = None
         try:
-            await self._store.create(kind=kind, name=own.name, value=value)
-        except platform.ConflictError as error:
-            if error.current is None or error.current.value == value:
-                return
-            await self._store.update(
-                kind=kind,
-                name=own.name,
-                value=value,
-                version=error.current.version,
+            connection = await http.ClientConnection.open(
+                address=f"{ip}:{self._peer_port}", deadline=deadline
+            )
+            response = await connection.exchange(
+                http.Request(method=b"GET", target=target.encode()),
+                limit=MAX_DELTA_BYTES,
+                deadline=deadline,
             )
+            if response.status == OK_STATUS:
+                delta = digests.decode_delta(response.body)
+                await self._apply(delta, spread=spread)
+            self._metrics.incr("copies_fetched")
+        except (http.HttpError, digests.MalformedDigestError) as error:
+            self._metrics.incr("copies_not_fetched")
+            self._events.write(
+                "copy_not_fetched", kind=kind, ip=ip, error=str(error)
+            )
+        finally:
+            self._fetching.discard(kind)
+            if connection is not None:
+                await connection.close()
+
+    def hand_over(self, request: http.Request) -> http.Response:
+        """Answers another gateway that asks for a copy."""
+        path, _, query = request.target.decode("latin-1").partition("?")
+        replica = self._replicas.get(path.removeprefix(REPLICA_PATH))
+        if replica is None or not path.startswith(REPLICA_PATH):
+            return http.Response(status=NOT_FOUND_STATUS)
+        since = parse.parse_qs(query).get("since", [""])[0]
+        delta = replica.delta(int(since) if since.isdigit() else None)
+        if delta is None:
+            return http.Response(status=NO_CONTENT_STATUS)
+        return http.Response(status=OK_STATUS, body=digests.encode_delta(delta))
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -607,8 +607,8 @@
     ) -> tuple[admission.Refusal | None, float]:
         shared = self._shared
         if not cold_limits.is_sender(
-            gateway=shared.settings.node,
-            gateways=[m.name for m in shared.members.live(now=now)],
+            gateway=shared.members.own.ip,
+            gateways=[m.ip for m in shared.members.live(now=now)],
             server_id=server_id,
             calls_per_second=self._service.cold_calls_per_second,
         ):
--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -19,9 +19,11 @@
 from banyandale_direct import _following as following
 from banyandale_direct import _forwarding as forwarding
 from banyandale_direct import _gossip as gossip
+from banyandale_direct import _knowledge as knowledge
 from banyandale_direct import _lookups as lookups
 from banyandale_direct import _members as members
 from banyandale_direct import _protocols as protocols
+from banyandale_direct import _registration as registration
 from banyandale_direct import _registry as registry
 from banyandale_direct import _stops as stops
 import banyandale_http as http
@@ -67,10 +69,8 @@
         events.identify(node=loaded.node)
         self._table = members.MemberTable(
             own=members.Member(
-                name=loaded.node,
+                ip=http.parse_address(loaded.peer_address)[0],
                 zone=loaded.zone,
-                call_address=loaded.call_address,
-                peer_address=loaded.peer_address,
                 started_unix_ms=int(time.time() * MILLISECONDS_PER_SECOND),
                 beat=0,
                 ready=False,
@@ -96,22 +96,45 @@
         self._calls = calls.CallServer(
             shared=self._shared, dialect=adapter.callers
         )
-        self._following = following.Following(
-            store=adapter.open_store(loaded),
+        store = adapter.open_store(loaded)
+        self._knowledge = knowledge.Knowledge(
             documents=adapter.documents,
             servers=self._registry,
             loaded=loaded,
             on_configuration=self._use,
             events=events,
             metrics=metrics,
+        )
+        self._following = following.Following(
+            store=store,
+            kinds=self._knowledge.kinds(),
+            table=self._table,
+            peer_port=http.parse_address(loaded.peer_address)[1],
+            on_listing=self._knowledge.take_listing,
+            on_change=self._knowledge.take_change,
+            events=events,
+            metrics=metrics,
             random_source=self._random,
         )
         self._gossip = gossip.Gossip(
             table=self._table,
-            seeds=loaded.seed_peers,
+            address=loaded.peer_address,
+            zones=tuple(sorted(loaded.regions)),
+            seeds=loaded.seed_ips,
             is_ready=self.is_ready,
+            held=self._following.held,
+            on_digest=self._following.hear,
+            events=events,
+            metrics=metrics,
+        )
+        self._following.gossip = self._gossip
+        self._registration = registration.Registration(
+            store=store,
+            documents=adapter.documents,
+            table=self._table,
             events=events,
             metrics=metrics,
+            random_source=self._random,
         )
 
     def _use(self, current: configuration.Configuration) -> None:
@@ -153,15 +176,18 @@
             (loaded.ready_address, endpoints.Endpoint(self._ready).serve),
             (loaded.lookup_address, endpoints.Endpoint(self._lookup).serve),
             (loaded.metrics_address, endpoints.Endpoint(self._measure).serve),
+            (
+                loaded.peer_address,
+                endpoints.Endpoint(self._following.hand_over).serve,
+            ),
         ):
             await self._spawn(
                 f"listener {address}", self._accept, address, serve
             )
         await self._spawn("gossip receiver", self._gossip.receive)
         await self._spawn("gossip sender", self._gossip.send)
-        for watcher in self._following.watchers():
-            await self._spawn("watcher", watcher.run)
-        await self._spawn("registration", self._following.register, self._table)
+        await self._spawn("following", self._following.run)
+        await self._spawn("registration", self._registration.run)
         await self._spawn("housekeeping", self._keep_house)
 
     async def _accept(self, address: str, serve: Callable) -> None:
@@ -199,6 +225,7 @@
         addresses = lookups.choose_addresses(
             self._table.live(now=time.monotonic()),
             zone=lookup.zone,
+            port=http.parse_address(self._settings.call_address)[1],
             random_source=self._random,
         )
         if not addresses:
@@ -256,7 +283,10 @@
         ]
         self._settings = loaded
         self._shared.settings = loaded
-        self._shared.repeat_budgets.clear()
+        if {"repeat_ratio", "repeat_slack", "repeat_window_seconds"} & set(
+            changed
+        ):
+            self._shared.repeat_budgets.clear()
         self._events.write_state(
             "reload", cause=cause, outcome="taken", changed=changed
         )
--- a/libs/direct/src/banyandale_direct/_gossip.py
+++ b/libs/direct/src/banyandale_direct/_gossip.py
@@ -1,5 +1,6 @@
-"""Sends and receives the digests of `_members` as datagrams."""
+"""Sends and receives the datagrams between gateways."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import socket
 import time
@@ -9,21 +10,33 @@
 import curio.socket
 
 import banyandale_core as core
+from banyandale_direct import _digests as digests
 from banyandale_direct import _members as members
+from banyandale_direct import _replicas as replicas
 import banyandale_http as http
 
 MAX_DATAGRAM_BYTES = 65535
+# Larger changes are not sent along; the others ask for them over TCP.
+MAX_DELTA_BYTES = 16 * 1024
 
 
 class Gossip:
-    """Exchanges digests with other gateways."""
+    """Exchanges digests with other gateways.
+
+    Attributes:
+        reading: Whether this gateway reads the store and is answered.
+    """
 
     def __init__(
         self,
         *,
         table: members.MemberTable,
+        address: str,
+        zones: tuple[str, ...],
         seeds: tuple[str, ...],
         is_ready: Callable[[], bool],
+        held: Callable[[], dict[str, int]],
+        on_digest: Callable[[digests.Digest], Awaitable[None]],
         events: core.EventLog,
         metrics: core.Metrics,
     ) -> None:
@@ -31,21 +44,29 @@
 
         Args:
             table: What is known of the gateways.
-            seeds: Peer addresses that are written to while no other gateway
-                is known to be alive.
+            address: Own address for datagrams; all gateways use its port.
+            zones: Sorted names of all zones.
+            seeds: IP numbers that are written to while no other gateway is
+                known to be alive.
             is_ready: Whether callers may be sent to this gateway.
+            held: Store version up to which each kind is held.
+            on_digest: Gets each digest after its members were taken over.
             events: Log of the process.
             metrics: Counters of the process.
         """
         self._table = table
+        self._zones = zones
         self._seeds = seeds
         self._is_ready = is_ready
+        self._held = held
+        self._on_digest = on_digest
         self._events = events
         self._metrics = metrics
         self._live: frozenset[str] = frozenset()
-        host, port = http.parse_address(table.own.peer_address)
+        self.reading = False
+        host, self._port = http.parse_address(address)
         sock = curio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sock.bind((host, port))
+        sock.bind((host, self._port))
         self._sock: curio.io.Socket = sock
 
     async def receive(self) -> None:
@@ -53,17 +74,18 @@
         while True:
             data, sender = await self._sock.recvfrom(MAX_DATAGRAM_BYTES)
             try:
-                heard = members.decode_digest(data)
-            except members.MalformedDigestError as error:
+                digest = digests.decode_digest(data, zones=self._zones)
+            except digests.MalformedDigestError as error:
                 self._metrics.incr("digest_malformed")
                 self._events.write(
                     "digest_malformed", sender=sender[0], error=str(error)
                 )
                 continue
-            self._metrics.incr("digests_received")
-            news = self._table.merge(heard, now=time.monotonic())
-            if news:
-                await self.send_round()
+            news = self._table.merge(digest.members, now=time.monotonic())
+            await self._on_digest(digest)
+            if digest.sender in news:
+                # A gateway that has just started learns the others at once.
+                await self._send(self._encode(full=True), [digest.sender])
 
     async def send(self) -> None:
         """Sends a digest to a few gateways per round, for ever."""
@@ -76,24 +98,61 @@
         """Sends one digest to a few gateways."""
         now = time.monotonic()
         self._table.advance(ready=self._is_ready())
-        data = self._table.digest(now=now)
-        addresses = {m.peer_address for m in self._table.draw_targets(now=now)}
+        targets = self._table.draw_targets(now=now)
         if len(self._table.live(now=now)) == 1:
-            addresses.update(self._seeds)
-        addresses.discard(self._table.own.peer_address)
-        for address in addresses:
+            targets += self._seeds
+        await self._send(self._encode(full=True), targets)
+
+    async def tell_zone(
+        self, deltas: tuple[replicas.Delta, ...] = (), *, remote: bool = False
+    ) -> None:
+        """Tells all gateways of the own zone what this one holds.
+
+        Args:
+            deltas: Changes that are sent along, if they are small.
+            remote: Whether one gateway of each other zone is told as well.
+        """
+        now = time.monotonic()
+        targets = [m.ip for m in self._table.live_in_zone(now=now)]
+        if remote:
+            targets += self._table.draw_remote(now=now)
+        await self._send(self._encode(full=False, deltas=deltas), targets)
+
+    def _encode(
+        self, *, full: bool, deltas: tuple[replicas.Delta, ...] = ()
+    ) -> bytes:
+        now = time.monotonic()
+        known = self._table.live(now=now) if full else [self._table.own]
+        size = sum(
+            len(change.object.value)
+            for delta in deltas
+            for change in delta.changes
+        )
+        return digests.encode_digest(
+            digests.Digest(
+                sender=self._table.own.ip,
+                reading=self.reading,
+                members=tuple(known),
+                held=self._held(),
+                deltas=deltas if size <= MAX_DELTA_BYTES else (),
+            ),
+            zones=self._zones,
+        )
+
+    async def _send(self, data: bytes, ips: list[str]) -> None:
+        for ip in ips:
+            if ip == self._table.own.ip:
+                continue
             try:
-                await self._sock.sendto(data, http.parse_address(address))
+                await self._sock.sendto(data, (ip, self._port))
             except OSError as error:
                 self._metrics.incr("digest_unsent")
-                self._events.write(
-                    "digest_unsent", address=address, error=str(error)
-                )
+                self._events.write("digest_unsent", ip=ip, error=str(error))
 
     def _report_changes(self) -> None:
         now = time.monotonic()
         self._table.forget_silent(now=now)
-        live = frozenset(m.name for m in self._table.live(now=now))
+        live = frozenset(m.ip for m in self._table.live(now=now))
         if live != self._live:
             self._events.write_state(
                 "gateways_changed",
--- /dev/null
+++ b/libs/direct/src/banyandale_direct/_knowledge.py
@@ -0,0 +1,173 @@
+"""Applies what the store holds to the gateway's configuration and servers."""
+
+from collections.abc import Callable
+import time
+
+import banyandale_core as core
+from banyandale_direct import _configuration as configuration
+from banyandale_direct import _protocols as protocols
+from banyandale_direct import _registry as registry
+from banyandale_direct import _settings as settings
+import banyandale_platform as platform
+
+
+class Knowledge:
+    """Reads objects of the store; unreadable ones never replace good ones."""
+
+    def __init__(
+        self,
+        *,
+        documents: protocols.StoreDialect,
+        servers: registry.Registry,
+        loaded: settings.Settings,
+        on_configuration: Callable[[configuration.Configuration], None],
+        events: core.EventLog,
+        metrics: core.Metrics,
+    ) -> None:
+        """Creates the reader.
+
+        Args:
+            documents: How the platform writes its objects.
+            servers: Receives the servers and the zones out of service.
+            loaded: Settings of the process.
+            on_configuration: Gets each newer configuration.
+            events: Log of the process.
+            metrics: Counters of the process.
+        """
+        self._documents = documents
+        self._servers = servers
+        self._settings = loaded
+        self._on_configuration = on_configuration
+        self._events = events
+        self._metrics = metrics
+        self._version: int | None = None
+        self._zones_out: set[str] = set()
+
+    def kinds(self) -> tuple[str, ...]:
+        """Returns the kinds to follow, the most urgent first."""
+        return (
+            self._documents.configuration_kind,
+            self._documents.server_kind,
+            self._documents.zone_out_kind,
+        )
+
+    def take_listing(
+        self,
+        kind: str,
+        objects: tuple[platform.StoredObject, ...],
+        version: int,
+    ) -> None:
+        """Takes over all objects of a kind at a store version."""
+        if kind == self._documents.configuration_kind:
+            for stored in objects:
+                self._apply_configuration(stored)
+        elif kind == self._documents.server_kind:
+            self._replace_servers(objects, version)
+        else:
+            self._zones_out = {stored.name for stored in objects}
+            self._use_zones(version)
+
+    def take_change(self, change: platform.Change) -> None:
+        """Takes over one change."""
+        kind = change.object.kind
+        if kind == self._documents.configuration_kind:
+            if change.type is platform.ChangeType.PUT:
+                self._apply_configuration(change.object)
+        elif kind == self._documents.server_kind:
+            self._change_server(change)
+        else:
+            self._change_zone(change)
+
+    def _apply_configuration(self, stored: platform.StoredObject) -> None:
+        try:
+            read = self._documents.read_configuration(stored)
+        except protocols.MalformedEntryError as error:
+            self._reject(stored, error)
+            return
+        if read is None:
+            return
+        if self._version is not None and read.version <= self._version:
+            return
+        self._events.write_state(
+            "configuration",
+            version=read.version,
+            previous=self._version,
+            store_version=stored.version,
+            routes=sum(len(routes) for routes in read.hosts.values()),
+        )
+        self._version = read.version
+        self._metrics.gauge("configuration_version", read.version)
+        self._on_configuration(read)
+
+    def _reject(self, stored: platform.StoredObject, error: Exception) -> None:
+        self._metrics.incr(f"entry_rejected:{stored.kind}")
+        self._events.write(
+            "entry_rejected",
+            kind=stored.kind,
+            name=stored.name,
+            version=stored.version,
+            error=str(error),
+        )
+
+    def _read_server(
+        self, stored: platform.StoredObject
+    ) -> registry.Server | None:
+        try:
+            return self._documents.read_server(
+                stored, zones=self._settings.regions
+            )
+        except protocols.MalformedEntryError as error:
+            self._reject(stored, error)
+            return None
+
+    def _replace_servers(
+        self, objects: tuple[platform.StoredObject, ...], version: int
+    ) -> None:
+        read = [(self._read_server(stored), stored) for stored in objects]
+        self._servers.replace(
+            [(server, stored.version) for server, stored in read if server],
+            version=version,
+            now=time.monotonic(),
+        )
+        self._events.write_state(
+            "servers_listed", servers=len(objects), store_version=version
+        )
+
+    def _change_server(self, change: platform.Change) -> None:
+        now = time.monotonic()
+        stored = change.object
+        server = None
+        if change.type is platform.ChangeType.PUT:
+            server = self._read_server(stored)
+        if server is None:
+            changed = self._servers.remove(
+                stored.name, version=stored.version, now=now
+            )
+            state = "gone"
+        else:
+            changed = self._servers.put(server, version=stored.version, now=now)
+            state = "leaving" if server.leaving else "ready"
+        if changed:
+            self._events.write(
+                "server_entry",
+                server=stored.name,
+                state=state,
+                service=server.service if server else None,
+                cold_seconds=server.cold_seconds if server else None,
+                store_version=stored.version,
+            )
+
+    def _change_zone(self, change: platform.Change) -> None:
+        if change.type is platform.ChangeType.PUT:
+            self._zones_out.add(change.object.name)
+        else:
+            self._zones_out.discard(change.object.name)
+        self._use_zones(change.object.version)
+
+    def _use_zones(self, version: int) -> None:
+        if self._zones_out == self._servers.zones_out:
+            return
+        self._servers.set_zones_out(self._zones_out)
+        self._events.write_state(
+            "zones_out", zones=sorted(self._zones_out), store_version=version
+        )
--- a/libs/direct/src/banyandale_direct/_lookups.py
+++ b/libs/direct/src/banyandale_direct/_lookups.py
@@ -22,13 +22,24 @@
 
 
 def choose_addresses(
-    live: Sequence[members.Member], *, zone: str, random_source: random.Random
+    live: Sequence[members.Member],
+    *,
+    zone: str,
+    port: int,
+    random_source: random.Random,
 ) -> list[str]:
-    """Returns the addresses for a caller in a zone."""
+    """Returns the addresses for a caller in a zone.
+
+    Args:
+        live: Gateways that are alive.
+        zone: Zone of the caller.
+        port: Port on which all gateways take calls.
+        random_source: Source of the choice among more than are needed.
+    """
     ready = [member for member in live if member.ready]
-    local = [m.call_address for m in ready if m.zone == zone]
+    local = [f"{m.ip}:{port}" for m in ready if m.zone == zone]
     if len(local) < FEWEST_ADDRESSES:
-        others = [m.call_address for m in ready if m.zone != zone]
+        others = [f"{m.ip}:{port}" for m in ready if m.zone != zone]
         count = min(FEWEST_ADDRESSES - len(local), len(others))
         local += random_source.sample(others, count)
     if len(local) > MOST_ADDRESSES:
--- a/libs/direct/src/banyandale_direct/_members.py
+++ b/libs/direct/src/banyandale_direct/_members.py
@@ -7,52 +7,44 @@
 
 from collections.abc import Iterable
 import dataclasses
-import importlib.resources
+import hashlib
 import random
 
-import capnp
-
-capnp.remove_import_hook()
-
-_SCHEMA = capnp.load(
-    str(importlib.resources.files("banyandale_direct") / "members.capnp")
-)
-
 # Time between two rounds of one gateway.
 ROUND_SECONDS = 0.5
-# Gateways told per round: some of the own zone and one of any zone. With
-# these, news reach 150 gateways in about six rounds.
+# Gateways of the own zone that are told per round. With two, news reach 50
+# gateways in about five rounds.
 LOCAL_TARGETS = 2
-REMOTE_TARGETS = 1
+# The first gateway of a zone writes to one of each other zone per round; the
+# others do so with this probability, in case the first one is cut off. Bytes
+# between zones are dear.
+REMOTE_PROBABILITY = 0.05
+# Probability of writing to a silent gateway in a round, since a partition
+# that ended shows only when somebody writes across it.
+SILENT_PROBABILITY = 0.2
 # A gateway whose counter stands still for this long is not listed. The
 # users' bound for a gateway that ended is 6 s; news take up to 3 s.
 SILENT_SECONDS = 2.5
 # A gateway is forgotten after this long.
 FORGET_SECONDS = 60.0
-# Members per datagram, so that it stays below 16 KiB.
-MAX_DIGEST_MEMBERS = 200
-# Traversal limit for reading a datagram, in words of 8 bytes.
-MAX_DIGEST_WORDS = 8192
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Member:
     """A gateway as it describes itself.
 
+    All gateways of a deployment use the same ports.
+
     Attributes:
-        name: Name of its node.
+        ip: IP number, which also identifies it.
         zone: Availability zone.
-        call_address: Where callers connect.
-        peer_address: Where it receives digests.
         started_unix_ms: Start of its process.
         beat: Counter of its rounds.
         ready: Whether callers may be sent there.
     """
 
-    name: str
+    ip: str
     zone: str
-    call_address: str
-    peer_address: str
     started_unix_ms: int
     beat: int
     ready: bool
@@ -62,7 +54,12 @@
 class _Known:
     member: Member
     risen_at: float
-    heard: bool
+    alive: bool
+
+
+def rank_key(ip: str) -> bytes:
+    """Returns the place of a gateway in an order that all agree on."""
+    return hashlib.blake2b(ip.encode(), digest_size=8).digest()
 
 
 class MemberTable:
@@ -88,133 +85,87 @@
         """Takes over what another gateway knows.
 
         Returns:
-            Names of gateways that are new or started again.
+            IP numbers of gateways that are new or started again.
         """
         news = []
         for member in members:
-            if member.name == self._own.name:
-                continue
-            known = self._known.get(member.name)
-            if known is None:
-                self._known[member.name] = _Known(
-                    member=member, risen_at=now, heard=True
-                )
-                news.append(member.name)
+            if member.ip == self._own.ip:
                 continue
-            mine = (known.member.started_unix_ms, known.member.beat)
-            theirs = (member.started_unix_ms, member.beat)
-            if theirs > mine:
-                if member.started_unix_ms != known.member.started_unix_ms:
-                    news.append(member.name)
-                known.member = member
-                known.risen_at = now
-                known.heard = True
+            known = self._known.get(member.ip)
+            if known is not None:
+                mine = (known.member.started_unix_ms, known.member.beat)
+                if (member.started_unix_ms, member.beat) <= mine:
+                    continue
+            if (
+                known is None
+                or not known.alive
+                or member.started_unix_ms != known.member.started_unix_ms
+            ):
+                news.append(member.ip)
+            self._known[member.ip] = _Known(
+                member=member, risen_at=now, alive=True
+            )
         return news
 
     def introduce(self, members: Iterable[Member], *, now: float) -> None:
         """Adds gateways to write to that are not known to be alive."""
         for member in members:
-            if member.name == self._own.name or member.name in self._known:
+            if member.ip == self._own.ip or member.ip in self._known:
                 continue
-            self._known[member.name] = _Known(
-                member=member, risen_at=now - SILENT_SECONDS, heard=False
+            self._known[member.ip] = _Known(
+                member=member, risen_at=now, alive=False
             )
 
-    def forget_silent(self, *, now: float) -> list[str]:
-        """Drops gateways that are silent for long; returns their names."""
-        gone = [
-            name
-            for name, known in self._known.items()
-            if now - known.risen_at > FORGET_SECONDS
-        ]
-        for name in gone:
-            del self._known[name]
-        return gone
+    def forget_silent(self, *, now: float) -> None:
+        """Drops gateways that have been silent for long."""
+        for ip, known in list(self._known.items()):
+            if now - known.risen_at > FORGET_SECONDS:
+                del self._known[ip]
 
     def live(self, *, now: float) -> list[Member]:
         """Returns this gateway and all others that are alive."""
         others = [
             known.member
             for known in self._known.values()
-            if known.heard and now - known.risen_at <= SILENT_SECONDS
+            if known.alive and now - known.risen_at <= SILENT_SECONDS
         ]
         return [self._own, *others]
 
+    def live_in_zone(self, *, now: float) -> list[Member]:
+        """Returns the live gateways of the own zone, in the agreed order."""
+        local = [m for m in self.live(now=now) if m.zone == self._own.zone]
+        return sorted(local, key=lambda member: rank_key(member.ip))
+
+    def rank(self, *, now: float) -> int:
+        """Returns this gateway's place among the live ones of its zone."""
+        ips = [member.ip for member in self.live_in_zone(now=now)]
+        return ips.index(self._own.ip)
+
     def count_known(self) -> int:
         """Returns how many gateways may be running."""
         return len(self._known) + 1
 
-    def draw_targets(self, *, now: float) -> list[Member]:
-        """Draws the gateways to write to in this round.
-
-        Silent ones are drawn too, at times, because a partition that ended
-        shows only when somebody writes across it.
-        """
+    def draw_targets(self, *, now: float) -> list[str]:
+        """Draws the IP numbers of the gateways to write to in a round."""
         live = self.live(now=now)[1:]
-        local = [m for m in live if m.zone == self._own.zone]
-        remote = [m for m in live if m.zone != self._own.zone]
+        local = [m.ip for m in live if m.zone == self._own.zone]
         targets = self._draw(local, LOCAL_TARGETS)
-        targets += self._draw(remote, REMOTE_TARGETS)
-        names = {member.name for member in live}
-        silent = [
-            known.member
-            for name, known in self._known.items()
-            if name not in names
-        ]
-        return targets + self._draw(silent, 1)
-
-    def _draw(self, members: list[Member], count: int) -> list[Member]:
-        return self._random.sample(members, min(count, len(members)))
-
-    def digest(self, *, now: float) -> bytes:
-        """Encodes what this gateway knows of the live ones."""
-        members = self.live(now=now)
-        if len(members) > MAX_DIGEST_MEMBERS:
-            rest = self._draw(members[1:], MAX_DIGEST_MEMBERS - 1)
-            members = [members[0], *rest]
-        return encode_digest(members)
-
-
-def encode_digest(members: list[Member]) -> bytes:
-    """Returns the datagram for these members."""
-    message = _SCHEMA.Digest.new_message()
-    entries = message.init("members", len(members))
-    for entry, member in zip(entries, members, strict=True):
-        entry.name = member.name
-        entry.zone = member.zone
-        entry.callAddress = member.call_address
-        entry.peerAddress = member.peer_address
-        entry.startedUnixMs = member.started_unix_ms
-        entry.beat = member.beat
-        entry.ready = member.ready
-    return message.to_bytes_packed()
-
-
-class MalformedDigestError(ValueError):
-    """The datagram is not a digest."""
-
-
-def decode_digest(data: bytes) -> list[Member]:
-    """Reads a datagram.
-
-    Raises:
-        MalformedDigestError: The datagram is not a digest.
-    """
-    try:
-        message = _SCHEMA.Digest.from_bytes_packed(
-            data, traversal_limit_in_words=MAX_DIGEST_WORDS
-        )
-        return [
-            Member(
-                name=entry.name,
-                zone=entry.zone,
-                call_address=entry.callAddress,
-                peer_address=entry.peerAddress,
-                started_unix_ms=entry.startedUnixMs,
-                beat=entry.beat,
-                ready=entry.ready,
-            )
-            for entry in message.members
-        ]
-    except (capnp.KjException, ValueError) as error:
-        raise MalformedDigestError(str(error)) from error
+        leads = self.rank(now=now) == 0
+        if leads or self._random.random() < REMOTE_PROBABILITY:
+            targets += self.draw_remote(now=now)
+        if self._random.random() < SILENT_PROBABILITY:
+            alive = {member.ip for member in live}
+            silent = [ip for ip in self._known if ip not in alive]
+            targets += self._draw(silent, 1)
+        return targets
+
+    def draw_remote(self, *, now: float) -> list[str]:
+        """Draws one live gateway of each other zone."""
+        zones: dict[str, list[str]] = {}
+        for member in self.live(now=now)[1:]:
+            if member.zone != self._own.zone:
+                zones.setdefault(member.zone, []).append(member.ip)
+        return [self._random.choice(ips) for ips in zones.values()]
+
+    def _draw(self, ips: list[str], count: int) -> list[str]:
+        return self._random.sample(ips, min(count, len(ips)))
--- /dev/null
+++ b/libs/direct/src/banyandale_direct/_readers.py
@@ -0,0 +1,49 @@
+"""Which gateways read the store, so that few calls serve all of them.
+
+Load pattern: a watch per gateway and kind grows with the number of gateways,
+and each call is paid for. One gateway per zone reads and tells the others.
+The first live one in an order that all agree on does so; the next ones take
+over when they have not heard from a reader for a while, the nearest first. A
+reader whose store does not answer says so, and all others of its zone try
+for themselves, since a store may turn away single VMs.
+"""
+
+# A reader tells its zone that it reads this often.
+TELL_SECONDS = 0.4
+# Without word from a reader for this long, the next one takes over. The
+# users' shortest bounds (2 s from the store's answer to the effect) leave
+# room for this, the steps below and one call.
+SILENT_READER_SECONDS = 1.0
+# Each further gateway of the order waits this much longer, up to the steps.
+STEP_SECONDS = 0.15
+MOST_STEPS = 4
+# A starting gateway listens this long for others before it reads itself.
+START_SECONDS = 0.5
+
+
+class ReaderElection:
+    """Decides whether this gateway reads the store."""
+
+    def __init__(self, *, started_at: float) -> None:
+        self._heard_at = started_at - SILENT_READER_SECONDS + START_SECONDS
+
+    def hear(self, *, now: float, ahead: bool, reading: bool) -> None:
+        """Notes word from a gateway of the own zone.
+
+        Args:
+            now: Monotonic seconds.
+            ahead: Whether the sender comes before this one in the order.
+            reading: Whether it reads the store and is answered.
+        """
+        if ahead and reading:
+            self._heard_at = now
+
+    def should_read(self, *, now: float, rank: int) -> bool:
+        """Whether this gateway reads.
+
+        Args:
+            now: Monotonic seconds.
+            rank: Place of this gateway among the live ones of its zone.
+        """
+        wait = SILENT_READER_SECONDS + min(rank, MOST_STEPS) * STEP_SECONDS
+        return now >= self._heard_at + wait
--- /dev/null
+++ b/libs/direct/src/banyandale_direct/_registration.py
@@ -0,0 +1,109 @@
+"""How gateways find each other through the store.
+
+Gateways usually find each other through the addresses in their settings.
+These may be stale, so the first gateway of each zone also writes an entry,
+and a gateway that hears of no other one reads the entries.
+"""
+
+import random
+import time
+
+import curio
+
+import banyandale_core as core
+from banyandale_direct import _members as members
+from banyandale_direct import _protocols as protocols
+import banyandale_platform as platform
+
+# Time for the addresses in the settings to answer.
+LISTEN_SECONDS = 1.0
+# How often the first gateway of a zone reads the entries, so that groups
+# that do not know of each other find together.
+READ_SECONDS = 10.0
+# Pauses between tries double from the first to the longest.
+FIRST_PAUSE_SECONDS = 0.5
+LONGEST_PAUSE_SECONDS = 4.0
+
+
+class Registration:
+    """Writes this gateway's entry and reads those of the others."""
+
+    def __init__(
+        self,
+        *,
+        store: platform.ObjectStore,
+        documents: protocols.StoreDialect,
+        table: members.MemberTable,
+        events: core.EventLog,
+        metrics: core.Metrics,
+        random_source: random.Random,
+    ) -> None:
+        self._store = store
+        self._documents = documents
+        self._table = table
+        self._events = events
+        self._metrics = metrics
+        self._random = random_source
+        self._written = False
+
+    async def run(self) -> None:
+        """Keeps the gateways together, for ever."""
+        await curio.sleep(LISTEN_SECONDS)
+        pause = FIRST_PAUSE_SECONDS
+        while True:
+            now = time.monotonic()
+            alone = len(self._table.live(now=now)) == 1
+            if not alone and self._table.rank(now=now) > 0:
+                await curio.sleep(LISTEN_SECONDS)
+                continue
+            try:
+                await self._exchange_entries()
+            except platform.PlatformError as error:
+                self._metrics.incr(f"register_failed:{error.code}")
+                self._events.write(
+                    "register_failed", reason=error.code, error=str(error)
+                )
+                await curio.sleep(pause * self._random.uniform(0.5, 1.0))
+                pause = min(pause * 2, LONGEST_PAUSE_SECONDS)
+                continue
+            if alone:
+                await curio.sleep(pause)
+                pause = min(pause * 2, READ_SECONDS)
+            else:
+                pause = FIRST_PAUSE_SECONDS
+                await curio.sleep(READ_SECONDS)
+
+    async def _exchange_entries(self) -> None:
+        if not self._written:
+            await self._write_entry()
+            self._written = True
+        listing = await self._store.list(kind=self._documents.member_kind)
+        self._metrics.incr(f"store_calls:list.{self._documents.member_kind}")
+        others = []
+        for stored in listing.objects:
+            try:
+                others.append(self._documents.read_member(stored))
+            except protocols.MalformedEntryError as error:
+                self._metrics.incr(f"entry_rejected:{stored.kind}")
+                self._events.write(
+                    "entry_rejected",
+                    kind=stored.kind,
+                    name=stored.name,
+                    version=stored.version,
+                    error=str(error),
+                )
+        self._table.introduce(others, now=time.monotonic())
+        self._events.write_state(
+            "registered", gateways=len(others), store_version=listing.version
+        )
+
+    async def _write_entry(self) -> None:
+        kind = self._documents.member_kind
+        own = self._table.own
+        value = self._documents.write_member(own)
+        self._metrics.incr(f"store_calls:create.{kind}")
+        try:
+            await self._store.create(kind=kind, name=own.ip, value=value)
+        except platform.ConflictError:
+            # The address had an entry already, which says the same.
+            return
--- /dev/null
+++ b/libs/direct/src/banyandale_direct/_replicas.py
@@ -0,0 +1,131 @@
+"""A copy of the objects of one kind, which gateways hand to each other."""
+
+import collections
+import dataclasses
+
+import banyandale_platform as platform
+
+# Changes that are kept for others that are a little behind. A gateway that
+# is further behind gets all objects.
+KEPT_CHANGES = 512
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Delta:
+    """What brings a copy from one store version to another.
+
+    Attributes:
+        kind: Kind of the objects.
+        since: Version from which the delta leads; 0 with `complete`.
+        version: Version to which it leads.
+        complete: Whether `changes` are all objects of the kind.
+        changes: Changes in order.
+    """
+
+    kind: str
+    since: int
+    version: int
+    complete: bool
+    changes: tuple[platform.Change, ...]
+
+
+class Replica:
+    """All objects of one kind up to a store version.
+
+    Attributes:
+        kind: Kind of the objects.
+        version: Store version up to which the copy is complete; None before
+            the first list.
+    """
+
+    def __init__(self, *, kind: str) -> None:
+        self.kind = kind
+        self.version: int | None = None
+        self._objects: dict[str, platform.StoredObject] = {}
+        self._log: collections.deque[tuple[int, platform.Change]] = (
+            collections.deque()
+        )
+        self._log_since = 0
+
+    def objects(self) -> tuple[platform.StoredObject, ...]:
+        """Returns all objects."""
+        return tuple(self._objects.values())
+
+    def apply_listing(self, listing: platform.Listing) -> bool:
+        """Takes over a complete list; returns whether it was newer.
+
+        A list that is older than the copy is ignored, so that nothing goes
+        back.
+        """
+        if self.version is not None and listing.version < self.version:
+            return False
+        self._objects = {stored.name: stored for stored in listing.objects}
+        self.version = listing.version
+        self._log.clear()
+        self._log_since = listing.version
+        return True
+
+    def apply_changes(
+        self, changes: platform.Changes
+    ) -> tuple[platform.Change, ...]:
+        """Takes over changes that follow a version at or before the copy's.
+
+        Returns:
+            The changes that were not known.
+        """
+        if self.version is None or changes.version <= self.version:
+            return ()
+        news = tuple(
+            change for change in changes.changes if self._apply(change)
+        )
+        self.version = changes.version
+        self._log.extend((changes.version, change) for change in news)
+        while len(self._log) > KEPT_CHANGES:
+            self._log_since, _ = self._log.popleft()
+        return news
+
+    def _apply(self, change: platform.Change) -> bool:
+        known = self._objects.get(change.object.name)
+        if change.type is platform.ChangeType.DELETE:
+            # The version of a deletion may be that of the last write.
+            if known is None or known.version > change.object.version:
+                return False
+            del self._objects[change.object.name]
+            return True
+        if known is not None and known.version >= change.object.version:
+            return False
+        self._objects[change.object.name] = change.object
+        return True
+
+    def delta(self, since: int | None) -> Delta | None:
+        """Returns what a copy at version `since` lacks; None if nothing."""
+        if self.version is None:
+            return None
+        if since is None or since < self._log_since:
+            return Delta(
+                kind=self.kind,
+                since=0,
+                version=self.version,
+                complete=True,
+                changes=tuple(
+                    platform.Change(type=platform.ChangeType.PUT, object=stored)
+                    for stored in self._objects.values()
+                ),
+            )
+        if since >= self.version:
+            return None
+        return Delta(
+            kind=self.kind,
+            since=since,
+            version=self.version,
+            complete=False,
+            changes=tuple(c for at, c in self._log if at > since),
+        )
+
+    def fits(self, delta: Delta) -> bool:
+        """Whether a delta brings this copy forward."""
+        if self.version is None:
+            return delta.complete
+        if delta.version <= self.version:
+            return False
+        return delta.complete or delta.since <= self.version
--- a/libs/direct/src/banyandale_direct/_settings.py
+++ b/libs/direct/src/banyandale_direct/_settings.py
@@ -15,10 +15,11 @@
         call_address: Where callers connect (`ip:port`).
         ready_address: Where the platform asks whether the node is ready.
         lookup_address: Where callers ask for addresses.
-        peer_address: Where other gateways send digests (UDP).
+        peer_address: Where other gateways send digests (UDP) and fetch
+            copies (TCP). All gateways use the same ports.
         metrics_address: Where metrics are read.
         metrics_path: Path of the metrics.
-        seed_peers: Peer addresses of gateways that may be running.
+        seed_ips: IP numbers of gateways that may be running.
         store_address: The platform's store.
         repeat_ratio: Repeats allowed per call, over all gateways.
         repeat_slack: Repeats allowed per window beyond the ratio.
@@ -36,7 +37,7 @@
     peer_address: str
     metrics_address: str
     metrics_path: str
-    seed_peers: tuple[str, ...]
+    seed_ips: tuple[str, ...]
     store_address: str
     repeat_ratio: float
     repeat_slack: float
--- a/libs/platform/src/banyandale_platform/__init__.py
+++ b/libs/platform/src/banyandale_platform/__init__.py
@@ -24,7 +24,6 @@
 from banyandale_platform._objects import Vm
 from banyandale_platform._protocols import ObjectStore
 from banyandale_platform._protocols import VmList
-from banyandale_platform._watches import Watcher
 from banyandale_platform._writes import decode_fields
 from banyandale_platform._writes import Writer
 
@@ -49,7 +48,6 @@
     "Vm",
     "VmList",
     "WatchExpiredError",
-    "Watcher",
     "Writer",
     "decode_fields",
 ]
