direct: wait in the gateway for a server that can meet the target

The estimate took it as a stretch of 300 ms.

Ruled out: stale reports (age below 15 ms), servers that were avoided (24 of 204).

Change: the estimate multiplies the whole work. A call that would miss its target at the best server waits in the gateway, in steps of 40 ms, while an idle server could still meet it; then it goes where it delays nobody, or is rejected. A repeat is known by the time its caller has left. A starting gateway that others know of reads the store at once. Rotations of shares start at random places. Digests reach 150 gateways.

--- a/libs/config/src/banyandale_config/_snapshot.py
+++ b/libs/config/src/banyandale_config/_snapshot.py
@@ -82,6 +82,15 @@
         """The zones by name."""
         return {zone.name: zone for zone in self.zones}
 
+    @functools.cached_property
+    def server_addresses(self) -> frozenset[str]:
+        """The addresses of all backend servers."""
+        return frozenset(
+            server.address
+            for service in self.services
+            for server in service.servers
+        )
+
     def find_service(self, name: str) -> Service | None:
         """Returns the service `name`, or None."""
         return self.services_by_name.get(name)
--- a/libs/direct/src/banyandale_direct/_admission.py
+++ b/libs/direct/src/banyandale_direct/_admission.py
@@ -3,11 +3,14 @@
 Load pattern: more calls than the servers can finish within their deadlines
 (a burst, callers that repeat at once, a zone whose servers come back cold).
 A call that cannot be finished in time is rejected before it takes a place,
-so that the places go to calls that can. The time to come back is when the
+so that the places go to calls that can. A call that would only be late waits
+in the gateway, not at a server, for a server that can still meet its target.
+The time to come back is when the
 work that is already waiting is done, spread at random so that those who were
 turned away together do not return together.
 """
 
+import dataclasses
 import enum
 import random
 
@@ -24,11 +27,13 @@
 # Calls that may wait at a server, per slot. One that has more waiting sheds
 # (the users' site files: 2 slots, a queue of 4).
 WAITING_PER_SLOT = 2
-# Part of the target time for which a call may wait in the gateway for room.
-# A caller that is turned away later has lost time that a repeat needs.
-HOLD_SHARE = 0.125
+# Work of a call that nine in ten stay below, relative to the usual work.
+WORK_MARGIN = 1.3
+# With this many calls waiting per slot a server's queue is so long that a
+# place in it is worth nothing to a call with a target.
+CROWDED_WAITING_PER_SLOT = 1
 # Pause between two looks for room.
-HOLD_STEP_SECONDS = 0.025
+HOLD_STEP_SECONDS = 0.04
 
 
 class Refusal(enum.Enum):
@@ -84,9 +89,57 @@
     return None, 0.0
 
 
-def hold_deadline(*, started_at: float, target_seconds: float) -> float:
-    """Returns until when a call may wait for room, in monotonic seconds."""
-    return started_at + target_seconds * HOLD_SHARE
+class Verdict(enum.Enum):
+    """What happens to a call now."""
+
+    SEND = "send"
+    WAIT = "wait"
+    REJECT = "reject"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Prospect:
+    """When a call is due. All times are monotonic seconds.
+
+    Attributes:
+        target_at: When an answer loses most of its value, counted from the
+            caller's first attempt.
+        answer_by: When the caller has to have an answer.
+        work_seconds: What a call of the service usually needs.
+    """
+
+    target_at: float
+    answer_by: float
+    work_seconds: float
+
+    @property
+    def last_chance_at(self) -> float:
+        """When an idle server can just meet the target."""
+        return self.target_at - self.work_seconds * WORK_MARGIN
+
+
+def decide(
+    report: placement.LoadReport,
+    prospect: Prospect,
+    *,
+    now: float,
+    crossing_seconds: float = 0.0,
+) -> Verdict:
+    """Decides whether a call goes to the best server that was found.
+
+    A call that would miss its target there waits, as long as another server
+    could still meet it: a slow stretch ends, or a slot becomes free. A call
+    that is late in any case takes a place only where it delays nobody.
+    """
+    estimate = placement.estimate_seconds(report, prospect.work_seconds)
+    if now + estimate <= prospect.target_at:
+        return Verdict.SEND
+    if report.waiting >= report.slots * CROWDED_WAITING_PER_SLOT:
+        # Too many wait already; the caller is better off coming back.
+        return Verdict.REJECT
+    if now + HOLD_STEP_SECONDS <= prospect.last_chance_at:
+        return Verdict.WAIT
+    return Verdict.SEND if report.waiting == 0 else Verdict.REJECT
 
 
 def return_seconds(
--- a/libs/direct/src/banyandale_direct/_calls.py
+++ b/libs/direct/src/banyandale_direct/_calls.py
@@ -173,12 +173,18 @@
             return forwarding.refuse_not_run(
                 admission.Refusal.STOPPING, STOPPING_RETURN_SECONDS
             ), None
+        age = 0.0
+        if call.remaining_seconds is not None:
+            age = self._shared.patience.find_age(
+                route.name, call.remaining_seconds
+            )
         exchange = forwarding.Exchange(
             shared=self._shared,
             call=call,
             route=route,
             service=service,
             started_at=started_at,
+            age_seconds=age,
             version=current.version,
         )
         return await exchange.run(connection), exchange
--- a/libs/direct/src/banyandale_direct/_channels.py
+++ b/libs/direct/src/banyandale_direct/_channels.py
@@ -62,8 +62,7 @@
     async def keep_only(self, addresses: frozenset[str]) -> None:
         """Closes idle connections to addresses that are no longer used."""
         for address in self._pools.keys() - addresses:
-            pool = self._pools.pop(address)
-            await pool.clear()
+            await self._pools.pop(address).retire()
 
     async def release(self, probe: Probe) -> None:
         """Puts the connection of a probe that was not chosen back."""
--- a/libs/direct/src/banyandale_direct/_demands.py
+++ b/libs/direct/src/banyandale_direct/_demands.py
@@ -11,6 +11,23 @@
 LONGEST_SAMPLE_FACTOR = 2.0
 
 
+class PatienceTracker:
+    """Learns how long the callers of each route wait in all.
+
+    Callers tell how long they still wait, so a call with less than the most
+    seen on its route is a repeat, and the difference is its age.
+    """
+
+    def __init__(self) -> None:
+        self._longest: dict[str, float] = {}
+
+    def find_age(self, route: str, remaining_seconds: float) -> float:
+        """Returns how long ago the caller made its first attempt."""
+        longest = max(self._longest.get(route, 0.0), remaining_seconds)
+        self._longest[route] = longest
+        return longest - remaining_seconds
+
+
 class DemandTracker:
     """Averages the work and the answer size of each service."""
 
@@ -26,14 +43,21 @@
         )
 
     def record(
-        self, service: str, *, seconds: float, answer_bytes: int
+        self, service: str, *, work_seconds: float | None, answer_bytes: int
     ) -> None:
-        """Adds an answered call."""
+        """Adds an answered call.
+
+        Args:
+            service: Name of the service.
+            work_seconds: Time on an idle, normal server; None if not known.
+            answer_bytes: Size of the answer.
+        """
         work = self._work.get(service)
-        if work is None:
-            self._work[service] = seconds
-        else:
-            sample = min(seconds, work * LONGEST_SAMPLE_FACTOR)
-            self._work[service] = work + (sample - work) * SAMPLE_WEIGHT
+        if work_seconds is not None:
+            if work is None:
+                self._work[service] = work_seconds
+            else:
+                sample = min(work_seconds, work * LONGEST_SAMPLE_FACTOR)
+                self._work[service] = work + (sample - work) * SAMPLE_WEIGHT
         size = self._bytes.get(service, float(answer_bytes))
         self._bytes[service] = size + (answer_bytes - size) * SAMPLE_WEIGHT
--- a/libs/direct/src/banyandale_direct/_digests.py
+++ b/libs/direct/src/banyandale_direct/_digests.py
@@ -89,6 +89,8 @@
         message = _SCHEMA.Digest.from_bytes_packed(
             data, traversal_limit_in_words=MAX_MESSAGE_WORDS
         )
+        if message.sender == 0:
+            raise MalformedDigestError("the digest names no sender")
         return Digest(
             sender=_unpack_ip(message.sender),
             reading=message.reading,
--- a/libs/direct/src/banyandale_direct/_following.py
+++ b/libs/direct/src/banyandale_direct/_following.py
@@ -16,8 +16,10 @@
 import banyandale_http as http
 import banyandale_platform as platform
 
-# How often the gateway decides whether it reads the store.
+# How often the gateway decides whether it reads the store, and how often
+# while it holds nothing yet.
 STEP_SECONDS = 0.2
+START_STEP_SECONDS = 0.02
 # How long one watch waits. With the time that a call may take, a watch on a
 # connection that went silent ends within the users' three seconds.
 WATCH_SECONDS = 1.5
@@ -50,6 +52,7 @@
         kinds: tuple[str, ...],
         table: members.MemberTable,
         peer_port: int,
+        is_seed: bool,
         on_listing: ListingConsumer,
         on_change: Callable[[platform.Change], None],
         events: core.EventLog,
@@ -64,6 +67,8 @@
                 outage.
             table: The other gateways.
             peer_port: Port on which gateways hand over copies.
+            is_seed: Whether the others know this gateway's address from
+                their settings.
             on_listing: Gets kind, all objects and version of a new copy.
             on_change: Gets each change of a copy.
             events: Log of the process.
@@ -80,7 +85,9 @@
         self._random = random_source
         self._replicas = {kind: replicas.Replica(kind=kind) for kind in kinds}
         self._first_kind = kinds[0]
-        self._election = readers.ReaderElection(started_at=time.monotonic())
+        self._election = readers.ReaderElection(
+            started_at=time.monotonic(), at_once=is_seed
+        )
         self._reading: set[str] = set()
         self._fetching: set[str] = set()
         # Kinds whose list has to be read again.
@@ -119,7 +126,8 @@
             if self.gossip.reading and now >= told_at + readers.TELL_SECONDS:
                 told_at = now
                 await self.gossip.tell_zone()
-            await curio.sleep(STEP_SECONDS)
+            empty = len(self.held()) < len(self._replicas)
+            await curio.sleep(START_STEP_SECONDS if empty else STEP_SECONDS)
 
     async def _start_reading(self) -> None:
         for kind in self._replicas:
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -87,7 +87,9 @@
         response: The complete response, if any.
         refusal: Why nothing was sent, else None.
         wait_seconds: Time until room is likely, with a refusal.
+        may_wait: Whether looking again soon may find room.
         error: Code of the failure, else None.
+        report: Load report by which the server was chosen, if any.
         run: Whether the server may have run the call.
     """
 
@@ -98,7 +100,9 @@
     response: http.Response | None = None
     refusal: admission.Refusal | None = None
     wait_seconds: float = 0.0
+    may_wait: bool = False
     error: str | None = None
+    report: placement.LoadReport | None = None
     run: core.RunMark = core.RunMark.NOT_RUN
 
 
@@ -109,6 +113,7 @@
     registry: registry.Registry
     beliefs: beliefs.Beliefs
     demands: demands.DemandTracker
+    patience: demands.PatienceTracker
     cold: cold_limits.ColdLimiter
     channels: channels.Channels
     members: members.MemberTable
@@ -145,8 +150,21 @@
         route: configuration.Route,
         service: configuration.Service,
         started_at: float,
+        age_seconds: float,
         version: int,
     ) -> None:
+        """Creates an exchange.
+
+        Args:
+            shared: What all calls share.
+            call: The call.
+            route: Its route.
+            service: The service that was drawn for it.
+            started_at: Monotonic seconds when it was read.
+            age_seconds: How long before that its caller made its first
+                attempt.
+            version: Version of the configuration that decides.
+        """
         self._shared = shared
         self._call = call
         self._route = route
@@ -157,6 +175,7 @@
         if call.remaining_seconds is not None:
             caller_deadline = started_at + call.remaining_seconds
             self._answer_by = min(self._answer_by, caller_deadline)
+        self._target_at = started_at + route.target_seconds - age_seconds
         self._events: curio.Queue = curio.Queue()
         self._tried: set[str] = set()
         self._attempts: list[_Attempt] = []
@@ -346,6 +365,7 @@
             return
         server = probe.candidate.entry.server
         attempt.server_id = server.id
+        attempt.report = probe.candidate.report
         self._tried.add(server.id)
         belief = self._shared.beliefs.find(
             server.id, started_unix_ms=server.started_unix_ms
@@ -427,9 +447,12 @@
         kind = attempt.kind
         if kind is protocols.AnswerKind.SERVED:
             shared.beliefs.record_success(server_id)
+            work = None
+            if attempt.report is not None:
+                work = placement.estimate_work(attempt.report, seconds)
             shared.demands.record(
                 self._service.name,
-                seconds=seconds,
+                work_seconds=work,
                 answer_bytes=len(attempt.response.body),
             )
             shared.metrics.timing(
@@ -483,20 +506,11 @@
 
     async def _place(self, attempt: _Attempt) -> channels.Probe | None:
         """Chooses a server; fills in the refusal when there is none."""
-        hold_until = admission.hold_deadline(
-            started_at=self._started_at,
-            target_seconds=self._route.target_seconds,
-        )
         while True:
             probe = await self._look(attempt)
-            if probe is not None:
+            if probe is not None or not attempt.may_wait:
                 return probe
-            now = time.monotonic()
-            if (
-                attempt.refusal is not admission.Refusal.NO_ROOM
-                or now + admission.HOLD_STEP_SECONDS > hold_until
-            ):
-                return None
+            # The caller's leaving and the deadline cancel this task.
             await curio.sleep(admission.HOLD_STEP_SECONDS)
 
     async def _look(self, attempt: _Attempt) -> channels.Probe | None:
@@ -569,42 +583,90 @@
         left = list(probes)
         attempt.refusal = admission.Refusal.NO_SERVER
         attempt.wait_seconds = demand.work_seconds
+        attempt.may_wait = False
         while left:
             best = self._best(left, demand)
             left.remove(best)
             refusal, wait = self._check(best.candidate, demand)
-            if refusal is None:
-                attempt.refusal = None
-                return best
-            attempt.refusal = refusal
-            attempt.wait_seconds = wait
+            if refusal is not None:
+                attempt.refusal = refusal
+                attempt.wait_seconds = wait
+                attempt.may_wait = self._may_wait(refusal, demand)
+                continue
+            verdict = self._decide(best.candidate, demand)
+            if verdict is admission.Verdict.SEND:
+                cold_refusal, wait = self._check_cold(best.candidate)
+                if cold_refusal is None:
+                    attempt.refusal = None
+                    return best
+                attempt.refusal = cold_refusal
+                attempt.wait_seconds = wait
+                continue
+            # The others are no better.
+            attempt.refusal = admission.Refusal.NO_ROOM
+            attempt.may_wait = (
+                verdict is admission.Verdict.WAIT and len(self._attempts) == 1
+            )
+            return None
         return None
 
+    def _may_wait(
+        self, refusal: admission.Refusal, demand: placement.Demand
+    ) -> bool:
+        return (
+            refusal is not admission.Refusal.NO_SERVER
+            and len(self._attempts) == 1
+            and time.monotonic() + admission.HOLD_STEP_SECONDS
+            <= self._prospect(demand).last_chance_at
+        )
+
+    def _prospect(self, demand: placement.Demand) -> admission.Prospect:
+        return admission.Prospect(
+            target_at=self._target_at,
+            answer_by=self._answer_by,
+            work_seconds=demand.work_seconds,
+        )
+
+    def _decide(
+        self, candidate: placement.Candidate, demand: placement.Demand
+    ) -> admission.Verdict:
+        if candidate.report is None:
+            return admission.Verdict.SEND
+        return admission.decide(
+            candidate.report,
+            self._prospect(demand),
+            now=time.monotonic(),
+            crossing_seconds=0.0
+            if candidate.local
+            else demand.crossing_seconds,
+        )
+
     def _check(
         self, candidate: placement.Candidate, demand: placement.Demand
     ) -> tuple[admission.Refusal | None, float]:
         """Returns why a server may not get the call, and for how long."""
-        now = time.monotonic()
-        report = candidate.report
-        server_id = candidate.entry.server.id
-        if report is None:
-            cold = candidate.entry.cold_until > now
-        else:
-            refusal, wait = admission.check_report(
-                report,
-                server_id=server_id,
-                work_seconds=demand.work_seconds,
-                now=now,
-                deadline=self._answer_by,
-            )
-            if refusal is not None:
-                return refusal, wait
-            cold = report.cold_seconds > 0
-        return self._check_cold(server_id, now) if cold else (None, 0.0)
+        if candidate.report is None:
+            return None, 0.0
+        return admission.check_report(
+            candidate.report,
+            server_id=candidate.entry.server.id,
+            work_seconds=demand.work_seconds,
+            now=time.monotonic(),
+            deadline=self._answer_by,
+        )
 
     def _check_cold(
-        self, server_id: str, now: float
+        self, candidate: placement.Candidate
     ) -> tuple[admission.Refusal | None, float]:
+        """Takes a cold server's call, if this gateway has one."""
+        now = time.monotonic()
+        server_id = candidate.entry.server.id
+        if candidate.report is not None:
+            cold = candidate.report.cold_seconds > 0
+        else:
+            cold = candidate.entry.cold_until > now
+        if not cold:
+            return None, 0.0
         shared = self._shared
         if not cold_limits.is_sender(
             gateway=shared.members.own.ip,
--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -82,6 +82,7 @@
             registry=self._registry,
             beliefs=beliefs.Beliefs(),
             demands=demands.DemandTracker(),
+            patience=demands.PatienceTracker(),
             cold=cold_limits.ColdLimiter(),
             channels=channels.Channels(
                 dialect=adapter.servers, metrics=metrics
@@ -110,6 +111,7 @@
             kinds=self._knowledge.kinds(),
             table=self._table,
             peer_port=http.parse_address(loaded.peer_address)[1],
+            is_seed=self._table.own.ip in loaded.seed_ips,
             on_listing=self._knowledge.take_listing,
             on_change=self._knowledge.take_change,
             events=events,
--- a/libs/direct/src/banyandale_direct/_gossip.py
+++ b/libs/direct/src/banyandale_direct/_gossip.py
@@ -92,7 +92,10 @@
         while True:
             await self.send_round()
             self._report_changes()
-            await curio.sleep(members.ROUND_SECONDS)
+            alone = len(self._live) == 1
+            await curio.sleep(
+                members.ALONE_ROUND_SECONDS if alone else members.ROUND_SECONDS
+            )
 
     async def send_round(self) -> None:
         """Sends one digest to a few gateways."""
--- a/libs/direct/src/banyandale_direct/_members.py
+++ b/libs/direct/src/banyandale_direct/_members.py
@@ -12,19 +12,24 @@
 
 # Time between two rounds of one gateway.
 ROUND_SECONDS = 0.5
-# Gateways of the own zone that are told per round. With two, news reach 50
-# gateways in about five rounds.
+# The same while no other gateway is known to be alive.
+ALONE_ROUND_SECONDS = 0.1
+# Gateways of the own zone that are told per round, and of each other zone by
+# the first gateway of a zone. Bytes between zones are dear.
 LOCAL_TARGETS = 2
-# The first gateway of a zone writes to one of each other zone per round; the
-# others do so with this probability, in case the first one is cut off. Bytes
-# between zones are dear.
+REMOTE_TARGETS = 1
+# From this many live gateways on, one more of each is told, so that news
+# reach 150 gateways in about four rounds.
+LARGE_COUNT = 40
+# The other gateways of a zone write to other zones with this probability, in
+# case the first one is cut off.
 REMOTE_PROBABILITY = 0.05
 # Probability of writing to a silent gateway in a round, since a partition
 # that ended shows only when somebody writes across it.
 SILENT_PROBABILITY = 0.2
 # A gateway whose counter stands still for this long is not listed. The
-# users' bound for a gateway that ended is 6 s; news take up to 3 s.
-SILENT_SECONDS = 2.5
+# users' bound for a gateway that ended is 6 s; news take up to 2 s.
+SILENT_SECONDS = 3.0
 # A gateway is forgotten after this long.
 FORGET_SECONDS = 60.0
 
@@ -149,23 +154,26 @@
         """Draws the IP numbers of the gateways to write to in a round."""
         live = self.live(now=now)[1:]
         local = [m.ip for m in live if m.zone == self._own.zone]
-        targets = self._draw(local, LOCAL_TARGETS)
+        more = int(len(live) >= LARGE_COUNT)
+        targets = self._draw(local, LOCAL_TARGETS + more)
         leads = self.rank(now=now) == 0
         if leads or self._random.random() < REMOTE_PROBABILITY:
-            targets += self.draw_remote(now=now)
+            targets += self.draw_remote(now=now, count=REMOTE_TARGETS + more)
         if self._random.random() < SILENT_PROBABILITY:
             alive = {member.ip for member in live}
             silent = [ip for ip in self._known if ip not in alive]
             targets += self._draw(silent, 1)
         return targets
 
-    def draw_remote(self, *, now: float) -> list[str]:
-        """Draws one live gateway of each other zone."""
+    def draw_remote(
+        self, *, now: float, count: int = REMOTE_TARGETS
+    ) -> list[str]:
+        """Draws live gateways of each other zone."""
         zones: dict[str, list[str]] = {}
         for member in self.live(now=now)[1:]:
             if member.zone != self._own.zone:
                 zones.setdefault(member.zone, []).append(member.ip)
-        return [self._random.choice(ips) for ips in zones.values()]
+        return [ip for ips in zones.values() for ip in self._draw(ips, count)]
 
     def _draw(self, ips: list[str], count: int) -> list[str]:
         return self._random.sample(ips, min(count, len(ips)))
--- a/libs/direct/src/banyandale_direct/_placement.py
+++ b/libs/direct/src/banyandale_direct/_placement.py
@@ -2,7 +2,8 @@
 
 Load pattern: machines that are shared with others turn several times slower
 for stretches of a few hundred milliseconds, so that a load report is stale
-when the next call comes. A few servers are asked right before each send; the
+when the next call comes. A call that starts in such a stretch takes that many
+times longer as a whole. A few servers are asked right before each send; the
 call goes to the one that is likely to answer first. Servers of other zones
 are asked only when the best of the own zone is crowded or slow, because bytes
 between zones are dear.
@@ -22,9 +23,8 @@
 # (the users' site files: knee 0.8, 1.7).
 CROWDED_SHARE = 0.8
 CROWDED_FACTOR = 1.7
-# A slow stretch lasts about this long (the users' site files: 300 ms), so a
-# call loses at most the rest of one.
-SLOW_STRETCH_SECONDS = 0.3
+# Slowness below this is not believed.
+LEAST_SLOWNESS = 0.5
 # A cold server takes twice as long (the users' site files).
 COLD_FACTOR = 2.0
 # Time that a way across zones adds: two times 3.9 ms and the report's own.
@@ -110,15 +110,25 @@
     if report.cold_seconds > 0:
         own *= COLD_FACTOR
     ahead = max(report.running + report.waiting - slots + 1, 0)
+    # Calls that are ahead started at a slowness that is not known.
     queued = own * ahead / slots
-    # In a slow stretch of length S at slowness x, work of length W takes
-    # W x when it ends within the stretch, else W plus the time lost in it.
-    slowness = max(report.slowness, 0.1)
-    work = own + queued
-    lost = min(
-        work * (slowness - 1.0), SLOW_STRETCH_SECONDS * (1.0 - 1.0 / slowness)
-    )
-    return work + lost
+    return queued + own * max(report.slowness, LEAST_SLOWNESS)
+
+
+def estimate_work(report: LoadReport, seconds: float) -> float | None:
+    """Returns the work of a call that was answered after some time.
+
+    Args:
+        report: The report by which the call was placed.
+        seconds: Time from the send to the answer.
+
+    Returns:
+        The time that an idle, normal server would have taken; None when the
+        call had to wait, so that nothing can be said.
+    """
+    if report.running >= report.slots or report.waiting > 0:
+        return None
+    return seconds / estimate_seconds(report, 1.0)
 
 
 def rank(candidate: Candidate, demand: Demand) -> float:
--- a/libs/direct/src/banyandale_direct/_readers.py
+++ b/libs/direct/src/banyandale_direct/_readers.py
@@ -17,15 +17,17 @@
 # Each further gateway of the order waits this much longer, up to the steps.
 STEP_SECONDS = 0.15
 MOST_STEPS = 4
-# A starting gateway listens this long for others before it reads itself.
-START_SECONDS = 0.5
+# A starting gateway listens this long for others before it reads itself;
+# those whose addresses are in the settings of all others read at once.
+START_SECONDS = 0.4
 
 
 class ReaderElection:
     """Decides whether this gateway reads the store."""
 
-    def __init__(self, *, started_at: float) -> None:
-        self._heard_at = started_at - SILENT_READER_SECONDS + START_SECONDS
+    def __init__(self, *, started_at: float, at_once: bool = False) -> None:
+        listen = 0.0 if at_once else START_SECONDS
+        self._heard_at = started_at - SILENT_READER_SECONDS + listen
 
     def hear(self, *, now: float, ahead: bool, reading: bool) -> None:
         """Notes word from a gateway of the own zone.
--- a/libs/direct/src/banyandale_direct/_shares.py
+++ b/libs/direct/src/banyandale_direct/_shares.py
@@ -10,6 +10,9 @@
 
 from banyandale_direct import _configuration as configuration
 
+# A rotation starts after up to this many steps; shares are whole percents.
+START_STEPS = 100
+
 
 class ShareRotation:
     """Chooses the service of each call of one route."""
@@ -22,9 +25,9 @@
     ) -> None:
         self._shares = shares
         self._total = sum(share.weight for share in shares)
-        self._credit = [
-            random_source.uniform(0, share.weight) for share in shares
-        ]
+        self._credit = [0.0 for _ in shares]
+        for _ in range(random_source.randrange(START_STEPS)):
+            self.choose()
 
     def choose(self) -> str:
         """Returns the service of the next call."""
--- /dev/null
+++ b/libs/direct/tests/test_beliefs.py
@@ -0,0 +1,33 @@
+"""Tests of what outcomes say about a server."""
+
+from banyandale_direct import _beliefs as beliefs
+
+
+def test_pauses_grow_and_end_with_a_success():
+    """Guards against calls to a failing server whose health report is good."""
+    known = beliefs.Beliefs()
+    known.find("a")
+    pauses = [known.record_failure("a", now=0.0) for _ in range(6)]
+    assert pauses == sorted(pauses)
+    assert pauses[0] == beliefs.FIRST_PAUSE_SECONDS
+    assert pauses[-1] == beliefs.LONGEST_PAUSE_SECONDS
+    known.record_success("a")
+    assert known.find("a").avoid_until == 0.0
+
+
+def test_another_process_under_the_same_id_starts_anew():
+    """Guards against a restarted server that nobody calls."""
+    known = beliefs.Beliefs()
+    known.find("a", started_unix_ms=1)
+    known.record_failure("a", now=0.0)
+    assert known.find("a", started_unix_ms=1).avoid_until > 0
+    assert known.find("a", started_unix_ms=2).avoid_until == 0
+
+
+def test_servers_with_calls_in_flight_are_kept():
+    """Guards against a count of calls in flight that goes below zero."""
+    known = beliefs.Beliefs()
+    known.find("a").in_flight = 1
+    known.find("b")
+    known.keep_only(frozenset())
+    assert known.find("a").in_flight == 1
--- /dev/null
+++ b/libs/direct/tests/test_cold_limits.py
@@ -0,0 +1,65 @@
+"""Tests of the limit on calls to servers in cold start."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies
+
+from banyandale_direct import _cold_limits as cold_limits
+
+LIMIT = 2.0
+OVERAGE = 1.5
+SLACK = 5.0
+
+
+def count_busiest_second(sent):
+    return max(
+        (sum(start <= t < start + 1.0 for t in sent) for start in sent),
+        default=0,
+    )
+
+
+@given(
+    seed=strategies.integers(0, 1000),
+    gateways=strategies.integers(1, 150),
+    missing=strategies.integers(0, 3),
+)
+def test_all_gateways_together_keep_the_limit(seed, gateways, missing):
+    """Guards against a cold server that every gateway tries at once.
+
+    Replays calls at all gateways every 50 ms, each of which sees a set of
+    live gateways from which some are missing.
+    """
+    source = random.Random(seed)
+    names = [f"10.0.0.{number}" for number in range(gateways)]
+    limiters = {name: cold_limits.ColdLimiter() for name in names}
+    unseen = source.sample(names, min(missing, gateways - 1))
+    views = {
+        name: [n for n in names if n not in unseen or n == name]
+        for name in names
+    }
+    senders = [
+        name
+        for name in names
+        if cold_limits.is_sender(
+            gateway=name,
+            gateways=views[name],
+            server_id="server",
+            calls_per_second=LIMIT,
+        )
+    ]
+    assert senders
+    sent = []
+    for step in range(60):
+        now = step * 0.05
+        for name in senders:
+            if limiters[name].try_send("server", now=now):
+                sent.append(now)
+    assert count_busiest_second(sent) <= LIMIT * OVERAGE + SLACK
+
+
+def test_a_limit_below_one_still_lets_a_server_warm_up():
+    """Guards against a server that never gets a first call."""
+    assert cold_limits.is_sender(
+        gateway="a", gateways=["a"], server_id="s", calls_per_second=0.0
+    )
--- /dev/null
+++ b/libs/direct/tests/test_demands.py
@@ -0,0 +1,26 @@
+"""Tests of the running averages."""
+
+from banyandale_direct import _demands as demands
+
+
+def test_slow_servers_do_not_move_the_average_much():
+    """Guards against estimates that grow with a few servers' slowness."""
+    tracker = demands.DemandTracker()
+    for number in range(200):
+        slow = number % 10 == 0
+        tracker.record(
+            "s", work_seconds=2.0 if slow else 0.2, answer_bytes=1000
+        )
+    found = tracker.find("s")
+    assert 0.18 < found.work_seconds < 0.3
+    assert found.answer_bytes == 1000
+    assert tracker.find("x").work_seconds == demands.FIRST_WORK_SECONDS
+
+
+def test_a_repeat_is_older_than_a_first_attempt():
+    """Guards against repeats that are treated as if they were in time."""
+    tracker = demands.PatienceTracker()
+    assert tracker.find_age("r", 2.5) == 0.0
+    assert tracker.find_age("r", 2.0) == 0.5
+    assert tracker.find_age("r", 2.5) == 0.0
+    assert tracker.find_age("other", 1.0) == 0.0
--- /dev/null
+++ b/libs/direct/tests/test_digests.py
@@ -0,0 +1,98 @@
+"""Tests of the datagrams between gateways."""
+
+import pytest
+
+from banyandale_direct import _digests as digests
+from banyandale_direct import _members as members
+from banyandale_direct import _replicas as replicas
+import banyandale_platform as platform
+
+ZONES = ("a", "b")
+
+
+def make_delta(kind="servers"):
+    return replicas.Delta(
+        kind=kind,
+        since=3,
+        version=5,
+        complete=False,
+        changes=(
+            platform.Change(
+                type=platform.ChangeType.DELETE,
+                object=platform.StoredObject(
+                    kind=kind, name="x", version=5, value=b""
+                ),
+            ),
+            platform.Change(
+                type=platform.ChangeType.PUT,
+                object=platform.StoredObject(
+                    kind=kind, name="y", version=4, value=b'{"a":1}'
+                ),
+            ),
+        ),
+    )
+
+
+def test_digests_come_back_as_they_were():
+    """Guards against fields that are lost on the way."""
+    digest = digests.Digest(
+        sender="10.0.0.1",
+        reading=True,
+        members=(
+            members.Member(
+                ip="10.0.0.1",
+                zone="b",
+                started_unix_ms=1_787_000_000_123,
+                beat=7,
+                ready=True,
+            ),
+        ),
+        held={"servers": 5},
+        deltas=(make_delta(),),
+    )
+    data = digests.encode_digest(digest, zones=ZONES)
+    assert digests.decode_digest(data, zones=ZONES) == digest
+
+
+def test_deltas_come_back_as_they_were():
+    """Guards against copies that differ from the store."""
+    delta = make_delta()
+    assert digests.decode_delta(digests.encode_delta(delta)) == delta
+
+
+@pytest.mark.parametrize("data", [b"", b"x", b"\xff" * 40, b"GET / HTTP/1.1"])
+def test_other_bytes_are_refused(data):
+    """Guards against a receiver that ends on a stray datagram."""
+    with pytest.raises(digests.MalformedDigestError):
+        digests.decode_digest(data, zones=ZONES)
+
+
+def test_a_zone_that_is_not_known_is_refused():
+    """Guards against a digest of another deployment."""
+    member = members.Member(
+        ip="10.0.0.1", zone="b", started_unix_ms=1, beat=1, ready=True
+    )
+    digest = digests.Digest(
+        sender="10.0.0.1", reading=False, members=(member,), held={}
+    )
+    data = digests.encode_digest(digest, zones=ZONES)
+    with pytest.raises(digests.MalformedDigestError):
+        digests.decode_digest(data, zones=("a",))
+
+
+def test_a_digest_of_150_gateways_is_small():
+    """Guards against datagrams that cost more than a tenth of a call each."""
+    known = tuple(
+        members.Member(
+            ip=f"10.0.{n // 100}.{n % 100}",
+            zone="a",
+            started_unix_ms=1_787_000_000_000 + n,
+            beat=n,
+            ready=True,
+        )
+        for n in range(150)
+    )
+    digest = digests.Digest(
+        sender="10.0.0.1", reading=True, members=known, held={}
+    )
+    assert len(digests.encode_digest(digest, zones=ZONES)) < 150 * 20
--- /dev/null
+++ b/libs/direct/tests/test_lookups.py
@@ -0,0 +1,47 @@
+"""Tests of the addresses that callers are given."""
+
+import random
+
+from banyandale_direct import _lookups as lookups
+from banyandale_direct import _members as members
+
+
+def choose(live, zone="a"):
+    return lookups.choose_addresses(
+        live, zone=zone, port=80, random_source=random.Random(1)
+    )
+
+
+def make_member(number, zone, *, ready=True):
+    return members.Member(
+        ip=f"10.0.0.{number}",
+        zone=zone,
+        started_unix_ms=1,
+        beat=1,
+        ready=ready,
+    )
+
+
+def test_own_zone_comes_alone_while_it_has_enough():
+    """Guards against bytes that cross zones without need."""
+    live = [make_member(n, "ab"[n % 2]) for n in range(8)]
+    assert sorted(choose(live)) == [f"10.0.0.{n}:80" for n in (0, 2, 4, 6)]
+
+
+def test_a_caller_whose_zone_is_lost_gets_others():
+    """Guards against callers without an address after a zone loss."""
+    live = [make_member(n, "b") for n in range(5)]
+    assert len(choose(live)) == lookups.FEWEST_ADDRESSES
+
+
+def test_gateways_that_are_not_ready_are_left_out():
+    """Guards against calls to a gateway that stops or knows nothing yet."""
+    live = [make_member(1, "a", ready=False), make_member(2, "a")]
+    live.append(make_member(3, "b", ready=False))
+    assert choose(live) == ["10.0.0.2:80"]
+
+
+def test_no_more_addresses_than_callers_take():
+    """Guards against gateways that no caller ever uses."""
+    live = [make_member(n, "a") for n in range(200)]
+    assert len(set(choose(live))) == lookups.MOST_ADDRESSES
--- /dev/null
+++ b/libs/direct/tests/test_placement.py
@@ -0,0 +1,166 @@
+"""Tests of the choice of a server, with a replay of noisy machines."""
+
+import random
+
+from banyandale_direct import _beliefs as beliefs
+from banyandale_direct import _placement as placement
+from banyandale_direct import _registry as registry
+
+WORK = 0.22
+DEMAND = placement.Demand(work_seconds=WORK, answer_bytes=400.0)
+LARGE = placement.Demand(work_seconds=WORK, answer_bytes=90_000.0)
+
+
+def make_entry(name, zone="a"):
+    return registry.Entry(
+        server=registry.Server(
+            id=name, address="127.0.0.1:80", service="s", zone=zone, slots=2
+        ),
+        version=1,
+        cold_until=0.0,
+    )
+
+
+def make_candidate(name, *, local=True, avoided=False, **report):
+    healthy = report.pop("healthy", True)
+    return placement.Candidate(
+        entry=make_entry(name),
+        report=placement.LoadReport(healthy=healthy, slots=2, **report),
+        local=local,
+        avoided=avoided,
+    )
+
+
+def choose(*candidates, demand=DEMAND):
+    best = placement.choose(candidates, demand, random.Random(1))
+    return best.entry.server.id
+
+
+def test_idle_and_normal_servers_come_first():
+    """Guards against calls behind others, or on slow or cold machines."""
+    idle = make_candidate("idle")
+    for other in (
+        make_candidate("half", running=1),
+        make_candidate("full", running=2, waiting=1),
+        make_candidate("slow", slowness=4.0),
+        make_candidate("cold", cold_seconds=2.0),
+        make_candidate("ill", healthy=False),
+        make_candidate("failing", avoided=True),
+        make_candidate("far", local=False),
+    ):
+        assert choose(other, idle) == "idle"
+
+
+def test_outcomes_outweigh_reports():
+    """Guards against health reports that are false, either way."""
+    failing = make_candidate("failing", avoided=True)
+    ill = make_candidate("ill", healthy=False, running=2, waiting=3)
+    assert choose(failing, ill) == "ill"
+
+
+def test_large_answers_stay_in_their_zone():
+    """Guards against downloads that cross zones for a small gain."""
+    crowded = make_candidate("crowded", running=1, slowness=2.0)
+    far = make_candidate("far", local=False)
+    assert choose(crowded, far) == "far"
+    assert choose(crowded, far, demand=LARGE) == "crowded"
+    full = make_candidate("full", running=2, waiting=4)
+    assert choose(full, far, demand=LARGE) == "far"
+
+
+def test_other_zones_are_asked_when_the_own_is_crowded():
+    """Guards against reports from other zones for each call."""
+    assert not placement.should_widen(make_candidate("idle"), DEMAND)
+    assert placement.should_widen(make_candidate("x", running=2), DEMAND)
+    assert placement.should_widen(None, DEMAND)
+
+
+def test_failing_servers_are_asked_last():
+    """Guards against rounds that only ask servers that just failed."""
+    known = beliefs.Beliefs()
+    entries = [make_entry(str(number)) for number in range(6)]
+    for number in range(3):
+        known.find(str(number))
+        known.record_failure(str(number), now=0.0)
+    drawn = placement.draw_servers(
+        entries, known, now=0.1, random_source=random.Random(1), count=3
+    )
+    assert {entry.server.id for entry in drawn} == {"3", "4", "5"}
+
+
+class Machines:
+    """Machines of which a quarter is four times slower for 300 ms."""
+
+    def __init__(self, count, seed):
+        self.random = random.Random(seed)
+        self.slow = [[self._draw() for _ in range(400)] for _ in range(count)]
+        self.busy = [[0.0, 0.0] for _ in range(count)]
+
+    def _draw(self):
+        return 4.0 if self.random.random() < 0.25 else 1.0
+
+    def slowness(self, machine, now):
+        return self.slow[machine][min(int(now / 0.3), 399)]
+
+    def report(self, machine, now):
+        running = sum(1 for end in self.busy[machine] if end > now)
+        return placement.LoadReport(
+            healthy=True,
+            running=running,
+            slots=2,
+            slowness=self.slowness(machine, now),
+        )
+
+    def run(self, machine, now):
+        """Runs a call; returns when it ends."""
+        slot = min(range(2), key=lambda index: self.busy[machine][index])
+        at = max(now, self.busy[machine][slot])
+        work = WORK * self.random.uniform(0.7, 1.3)
+        at += work * self.slowness(machine, at)
+        self.busy[machine][slot] = at
+        return at
+
+
+def replay(choose_machine, seed):
+    """Returns the share of calls that miss 0.6 s at 25 calls a second."""
+    machines = Machines(11, seed)
+    source = random.Random(seed)
+    now, late, count = 0.0, 0, 1000
+    for _ in range(count):
+        now += source.expovariate(25.0)
+        machine = choose_machine(machines, source, now)
+        late += machines.run(machine, now) - now > 0.6
+    return late / count
+
+
+def choose_random(machines, source, now):
+    return source.randrange(11)
+
+
+def choose_asked(machines, source, now):
+    asked = source.sample(range(11), placement.PROBES_PER_ROUND)
+    candidates = {
+        machine: placement.Candidate(
+            entry=make_entry(str(machine)),
+            report=machines.report(machine, now),
+            local=True,
+        )
+        for machine in asked
+    }
+    best = placement.choose(list(candidates.values()), DEMAND, source)
+    return int(best.entry.server.id)
+
+
+def test_fresh_reports_beat_random_choice_on_noisy_machines():
+    """Guards against placement that ignores what machines say right now."""
+    for seed in range(5):
+        late = replay(choose_asked, seed)
+        assert late < replay(choose_random, seed) / 3
+
+
+def test_work_is_learned_from_what_slowed_the_call():
+    """Guards against estimates that count slowness twice."""
+    slow = placement.LoadReport(healthy=True, slots=2, slowness=4.0)
+    assert placement.estimate_work(slow, 0.8) == 0.2
+    busy = placement.LoadReport(healthy=True, slots=2, running=2)
+    assert placement.estimate_work(busy, 0.8) is None
--- /dev/null
+++ b/libs/direct/tests/test_readers.py
@@ -0,0 +1,43 @@
+"""Tests of the choice of the gateways that read the store."""
+
+from banyandale_direct import _readers as readers
+
+
+def test_the_first_reads_and_the_others_follow():
+    """Guards against a watch per gateway."""
+    first = readers.ReaderElection(started_at=0.0)
+    second = readers.ReaderElection(started_at=0.0)
+    start = readers.START_SECONDS
+    assert not first.should_read(now=start - 0.1, rank=0)
+    assert first.should_read(now=start, rank=0)
+    second.hear(now=start, ahead=True, reading=True)
+    assert not second.should_read(now=start + 0.9, rank=1)
+
+
+def test_the_next_takes_over_within_the_users_bound():
+    """Guards against news that stop when the reader freezes."""
+    for rank in range(1, 60):
+        election = readers.ReaderElection(started_at=0.0)
+        election.hear(now=10.0, ahead=True, reading=True)
+        # The decision is made every 0.2 s; a call takes 10 ms.
+        assert election.should_read(now=10.0 + 1.75, rank=rank)
+
+
+def test_a_reader_without_answers_does_not_count():
+    """Guards against a zone that waits for a reader the store turns away."""
+    election = readers.ReaderElection(started_at=0.0)
+    election.hear(now=10.0, ahead=True, reading=False)
+    assert election.should_read(now=10.0, rank=1)
+
+
+def test_a_later_one_does_not_stop_an_earlier_one():
+    """Guards against two gateways that each wait for the other."""
+    election = readers.ReaderElection(started_at=0.0)
+    election.hear(now=10.0, ahead=False, reading=True)
+    assert election.should_read(now=10.0, rank=0)
+
+
+def test_a_gateway_that_others_know_of_reads_at_once():
+    """Guards against a restart of all gateways that waits for nobody."""
+    election = readers.ReaderElection(started_at=0.0, at_once=True)
+    assert election.should_read(now=0.0, rank=0)
--- /dev/null
+++ b/libs/direct/tests/test_replicas.py
@@ -0,0 +1,131 @@
+"""Tests of copies that gateways hand to each other."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from banyandale_direct import _replicas as replicas
+import banyandale_platform as platform
+
+KIND = "servers"
+
+
+def make_object(name, version):
+    return platform.StoredObject(
+        kind=KIND, name=name, version=version, value=str(version).encode()
+    )
+
+
+class CopiesMachine(stateful.RuleBasedStateMachine):
+    """A store, a copy that reads it and copies that read each other."""
+
+    def __init__(self):
+        super().__init__()
+        self.version = 1
+        self.stored = {}
+        self.log = []
+        self.copies = [replicas.Replica(kind=KIND) for _ in range(3)]
+        self.lists()
+
+    @stateful.rule(
+        name=strategies.sampled_from("abcd"), delete=strategies.booleans()
+    )
+    def change(self, name, delete):
+        if delete and name not in self.stored:
+            return
+        self.version += 1
+        if delete:
+            # A deletion carries the version of the last write.
+            change = platform.Change(
+                type=platform.ChangeType.DELETE, object=self.stored.pop(name)
+            )
+        else:
+            self.stored[name] = make_object(name, self.version)
+            change = platform.Change(
+                type=platform.ChangeType.PUT, object=self.stored[name]
+            )
+        self.log.append((self.version, change))
+
+    @stateful.rule()
+    def lists(self):
+        self.copies[0].apply_listing(
+            platform.Listing(
+                version=self.version, objects=tuple(self.stored.values())
+            )
+        )
+
+    @stateful.rule(back=strategies.integers(0, 3))
+    def watches(self, back):
+        """A watch that began earlier returns what is partly known."""
+        since = max(self.copies[0].version - back, 1)
+        self.copies[0].apply_changes(
+            platform.Changes(
+                version=self.version,
+                changes=tuple(c for at, c in self.log if at > since),
+            )
+        )
+
+    @stateful.rule(
+        giver=strategies.integers(0, 2), taker=strategies.integers(0, 2)
+    )
+    def hands_over(self, giver, taker):
+        copy = self.copies[taker]
+        delta = self.copies[giver].delta(copy.version)
+        if delta is None or not copy.fits(delta):
+            return
+        if delta.complete:
+            copy.apply_listing(
+                platform.Listing(
+                    version=delta.version,
+                    objects=tuple(c.object for c in delta.changes),
+                )
+            )
+        else:
+            copy.apply_changes(
+                platform.Changes(version=delta.version, changes=delta.changes)
+            )
+        assert copy.version == self.copies[giver].version
+
+    @stateful.invariant()
+    def each_copy_is_a_state_of_the_store(self):
+        """Guards against copies that miss, keep or revive an object."""
+        for copy in self.copies:
+            if copy.version is None:
+                continue
+            expected = {}
+            for at, change in self.log:
+                if at > copy.version:
+                    break
+                if change.type is platform.ChangeType.PUT:
+                    expected[change.object.name] = change.object
+                else:
+                    expected.pop(change.object.name)
+            assert {o.name: o for o in copy.objects()} == expected
+
+
+CopiesMachine.TestCase.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=30, deadline=None, derandomize=True
+)
+TestCopies = CopiesMachine.TestCase
+
+
+def test_a_copy_that_is_far_behind_gets_everything():
+    """Guards against a gap when more changed than is kept."""
+    source = replicas.Replica(kind=KIND)
+    source.apply_listing(platform.Listing(version=1, objects=()))
+    for version in range(2, replicas.KEPT_CHANGES + 10):
+        source.apply_changes(
+            platform.Changes(
+                version=version,
+                changes=(
+                    platform.Change(
+                        type=platform.ChangeType.PUT,
+                        object=make_object("a", version),
+                    ),
+                ),
+            )
+        )
+    assert source.delta(1).complete
+    recent = source.delta(source.version - 1)
+    assert not recent.complete
+    assert len(recent.changes) == 1
--- a/libs/gateway/src/banyandale_gateway/_gateway.py
+++ b/libs/gateway/src/banyandale_gateway/_gateway.py
@@ -317,6 +317,12 @@
         if snapshot is not None:
             self._homes.refresh(snapshot)
 
+    async def _close_unused(self) -> None:
+        """Closes connections to servers that left the configuration."""
+        snapshot = self._follower.current()
+        if snapshot is not None:
+            await self._sender.keep_only(snapshot.server_addresses)
+
     async def run(self) -> None:
         """Serves until SIGTERM or SIGINT, then stops without cutting calls.
 
@@ -356,6 +362,7 @@
     async def _refresh_all(self) -> None:
         while True:
             self._refresh()
+            await self._close_unused()
             addresses = self._membership.peer_addresses()
             await self._node.update_peers(addresses)
             gateways = len(self._node.peers()) + 1
--- a/libs/gateway/src/banyandale_gateway/_sender.py
+++ b/libs/gateway/src/banyandale_gateway/_sender.py
@@ -296,7 +296,7 @@
         """Closes the connections to servers that are no longer configured."""
         self._naming_servers &= addresses
         for address in self._pools.keys() - addresses:
-            await self._pools.pop(address).clear()
+            await self._pools.pop(address).retire()
 
     async def close(self) -> None:
         """Closes all idle connections."""
--- a/libs/http/src/banyandale_http/_pool.py
+++ b/libs/http/src/banyandale_http/_pool.py
@@ -39,6 +39,7 @@
             collections.deque()
         )
         self._lost = False
+        self._retired = False
         self._in_use = 0
 
     async def acquire(
@@ -86,7 +87,8 @@
     async def release(self, connection: client.ClientConnection) -> None:
         """Puts a connection back, or closes it when it cannot be reused."""
         self._in_use -= 1
-        if connection.is_reusable and len(self._idle) < self._limit:
+        room = len(self._idle) < self._limit and not self._retired
+        if connection.is_reusable and room:
             self._idle.append(connection)
         else:
             await connection.close()
@@ -103,3 +105,8 @@
         """Closes all idle connections."""
         while self._idle:
             await self._idle.pop().close()
+
+    async def retire(self) -> None:
+        """Closes all idle connections, and those in use once they are free."""
+        self._retired = True
+        await self.clear()
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -22,6 +22,9 @@
         for address in cluster.servers(SERVICE, zone):
             await cluster.change_server(address, **change)
 
+# Longest time for which a shard refuses claims after a failed write.
+REPEAT_SECONDS = 0.5
+
 
 async def send(cluster, gateway, key, *, body=b"one", seconds=5.0, name=None):
     """Sends a keyed request; returns its response, or None without one.
@@ -281,6 +284,8 @@
     """Guards against a second run when a claim is slow or its write is lost.
 
     Each caller repeats its request at another gateway until it is served.
+    A shard whose writes failed refuses claims for up to half a second, so a
+    caller waits that long before it repeats.
     """
 
     async def scenario(cluster):
@@ -294,6 +299,7 @@
                 outcomes.append(describe(response))
                 if is_served(response):
                     return key, outcomes
+                await curio.sleep(REPEAT_SECONDS)
             return None, outcomes
 
         served = []
@@ -310,8 +316,11 @@
             for key, outcomes in results:
                 print(label, outcomes)
                 served += [key] if key else []
+            if label != "slow":
+                # Lost responses are resolved by reading back, so that the
+                # last repeat of each caller is served.
+                assert all(key for key, _ in results)
         await check_once(cluster, served=served)
-        assert served
 
     clusters.run(tmp_path, scenario)
 
