--- a/libs/direct/src/banyandale_direct/_admission.py
+++ b/libs/direct/src/banyandale_direct/_admission.py
@@ -130,9 +130,16 @@
     A call that would miss its target there waits, as long as another server
     could still meet it: a slow stretch ends, or a slot becomes free. A call
     that is late in any case takes a place only where it delays nobody.
+
+    Args:
+        report: The server's load report.
+        prospect: When the call is due.
+        now: Monotonic seconds.
+        crossing_seconds: What the way to another zone counts for; with a
+            large answer it is worth waiting for a server of the own zone.
     """
     estimate = placement.estimate_seconds(report, prospect.work_seconds)
-    if now + estimate <= prospect.target_at:
+    if now + estimate + crossing_seconds <= prospect.target_at:
         return Verdict.SEND
     if report.waiting >= report.slots * CROWDED_WAITING_PER_SLOT:
         # Too many wait already; the caller is better off coming back.
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -22,6 +22,7 @@
         for address in cluster.servers(SERVICE, zone):
             await cluster.change_server(address, **change)
 
+
 # Longest time for which a shard refuses claims after a failed write.
 REPEAT_SECONDS = 0.5
 
