tests: the adapter, and gateways as processes against stand-ins

Tests of the new path that need no bench: settings, entries, callers, servers, the store's client over HTTP, and gateways as processes with a store and backend servers that speak the platform's dialect. The store stand-in is the in-memory platform behind another dialect.

--- /dev/null
+++ b/tests/adapter/standin.py
@@ -0,0 +1,309 @@
+"""Stand-ins of the platform's store and of backend servers, for tests."""
+
+import collections
+import json
+import time
+from urllib import parse
+
+import curio
+
+import banyandale_http as http
+import banyandale_platform as platform
+from banyandale_platform import testing
+
+OBJECTS = "/banyandale/objects/"
+PAGE = 3
+
+
+def answer(status, body=None, headers=()):
+    data = b"" if body is None else json.dumps(body).encode()
+    return http.Response(status=status, headers=tuple(headers), body=data)
+
+
+class HttpStandin:
+    """Serves one address; counts connections."""
+
+    def __init__(self):
+        self.address = None
+        self.connections = 0
+        self._listener = None
+        self._tasks = []
+
+    async def start(self, address):
+        self._listener = http.open_listener(address)
+        host, port = self._listener.getsockname()
+        self.address = f"{host}:{port}"
+        self._tasks.append(await curio.spawn(self._accept, daemon=True))
+
+    async def _accept(self):
+        while True:
+            sock, _ = await self._listener.accept()
+            self.connections += 1
+            await curio.spawn(self._serve, sock, daemon=True)
+
+    async def _serve(self, sock):
+        connection = http.ServerConnection(sock=sock)
+        try:
+            while True:
+                request = await connection.read_request(
+                    limit=1 << 20, idle_deadline=time.monotonic() + 60
+                )
+                if request is None:
+                    return
+                response = await self.handle(request, sock)
+                if response is None:
+                    return
+                await connection.send_response(response)
+                if not connection.is_reusable:
+                    return
+        except http.HttpError:
+            return
+        finally:
+            await connection.close()
+
+    async def stop(self):
+        for task in self._tasks:
+            await task.cancel()
+        await self._listener.close()
+
+
+class StoreStandin(HttpStandin):
+    """The platform's store in its own dialect.
+
+    Attributes:
+        store: What it holds; its faults are those of the stand-in.
+        calls: Calls by method and kind.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.store = testing.MemoryStore()
+        self.calls = collections.Counter()
+
+    async def put(self, kind, name, value):
+        """Writes an object as the operator or a server would."""
+        data = json.dumps(value).encode()
+        current = self.store.peek(kind=kind, name=name)
+        if current is None:
+            await self.store.create(kind=kind, name=name, value=data)
+        else:
+            await self.store.update(
+                kind=kind, name=name, value=data, version=current.version
+            )
+
+    async def delete(self, kind, name):
+        current = self.store.peek(kind=kind, name=name)
+        await self.store.delete(kind=kind, name=name, version=current.version)
+
+    def _encode(self, stored):
+        metadata = {"name": stored.name, "revision": stored.version}
+        return {"metadata": metadata, **json.loads(stored.value or b"{}")}
+
+    async def handle(self, request, _):
+        path, _, query = request.target.decode().partition("?")
+        fields = {k: v[0] for k, v in parse.parse_qs(query).items()}
+        kind, _, name = path.removeprefix(OBJECTS).partition("/")
+        self.calls[request.method.decode(), kind] += 1
+        try:
+            return await self._handle(request, kind, name, fields)
+        except platform.ConflictError as error:
+            if error.current is None:
+                return answer(404)
+            return answer(409, self._encode(error.current))
+        except platform.WatchExpiredError:
+            return answer(410)
+        except platform.StoreUnavailableError:
+            return answer(503)
+        except platform.OutcomeUnknownError:
+            return None
+
+    async def _handle(self, request, kind, name, fields):
+        if request.method in {b"POST", b"PUT"}:
+            return await self._write(request, kind)
+        if request.method == b"DELETE":
+            version = int(fields["revision"])
+            stored = self.store.peek(kind=kind, name=name)
+            await self.store.delete(kind=kind, name=name, version=version)
+            return answer(200, self._encode(stored))
+        if "watch" in fields:
+            return await self._watch(kind, fields)
+        if name:
+            stored = await self.store.get(kind=kind, name=name)
+            return (
+                answer(404)
+                if stored is None
+                else answer(200, self._encode(stored))
+            )
+        listing = await self.store.list(kind=kind)
+        after = fields.get("after", "")
+        rest = [o for o in listing.objects if o.name > after]
+        return answer(
+            200,
+            {
+                "items": [self._encode(o) for o in rest[:PAGE]],
+                "hasMore": len(rest) > PAGE,
+                "asOf": listing.version,
+            },
+        )
+
+    async def _write(self, request, kind):
+        body = json.loads(request.body)
+        metadata = body.pop("metadata")
+        value = json.dumps(body).encode()
+        if request.method == b"POST":
+            stored = await self.store.create(
+                kind=kind, name=metadata["name"], value=value
+            )
+        else:
+            stored = await self.store.update(
+                kind=kind,
+                name=metadata["name"],
+                value=value,
+                version=metadata["revision"],
+            )
+        return answer(200, self._encode(stored))
+
+    async def _watch(self, kind, fields):
+        changes = await self.store.watch(
+            kinds=(kind,),
+            since=int(fields["watch"]),
+            deadline=time.monotonic() + int(fields["waitMs"]) / 1000,
+        )
+        events = [
+            {
+                "deleted": change.type is platform.ChangeType.DELETE,
+                "object": self._encode(change.object),
+            }
+            for change in changes.changes
+        ]
+        return answer(200, {"events": events, "asOf": changes.version})
+
+
+class ServerStandin(HttpStandin):
+    """A backend server.
+
+    Attributes:
+        id: Its identity.
+        ran: Ids of the requests that it ran, in order.
+        heads: Headers of these requests.
+        work_seconds: Time that a request takes.
+        behave: Called with each request before it runs; a response that it
+            returns is sent instead, and False ends the connection.
+        load: Its load report.
+        cold_ms: Milliseconds of cold start that it reports.
+        cancelled: Requests whose connection closed while they ran.
+    """
+
+    def __init__(self, name):
+        super().__init__()
+        self.id = name
+        self.ran = []
+        self.heads = []
+        self.work_seconds = 0.0
+        self.behave = lambda request: None
+        self.load = "0,0,2,100"
+        self.cold_ms = 0
+        self.healthy = True
+        self.cancelled = []
+
+    async def handle(self, request, sock):
+        if request.target == b"/health":
+            return answer(
+                200 if self.healthy else 503,
+                headers=(
+                    (b"x-instance-id", self.id.encode()),
+                    (b"x-server-load", self.load.encode()),
+                    (b"x-warmup-ms", str(self.cold_ms).encode()),
+                ),
+            )
+        request_id = request.header(b"x-request-id")
+        expected = request.header(b"x-expect-instance")
+        if expected not in (None, self.id.encode()):
+            return answer(421, headers=((b"x-instance-id", self.id.encode()),))
+        response = self.behave(request)
+        if response is not None:
+            return response or None
+        self.ran.append(request_id.decode())
+        self.heads.append(dict(request.headers))
+        until = time.monotonic() + self.work_seconds
+        while time.monotonic() < until:
+            if http.peek(sock) == b"":
+                self.cancelled.append(request_id.decode())
+                return None
+            await curio.sleep(0.01)
+        return answer(
+            200,
+            {"server": self.id, "body": request.body.decode()},
+            headers=(
+                (b"x-request-id", request_id),
+                (b"x-response-seal", b"seal"),
+            ),
+        )
+
+    def entry(self, service, zone="a", state="ready", **fields):
+        """Returns the entry that the server writes to the store."""
+        return {
+            "specification": {
+                "address": self.address,
+                "nodeInfo": {
+                    "service": service,
+                    "version": "v1",
+                    "zone": zone,
+                    "capacitySlots": 2,
+                },
+                "born": 1_787_000_000_000,
+                **fields,
+            },
+            "status": {"state": state, "seq": 1, "warmupLeftS": 0},
+        }
+
+
+def make_configuration(version, rules, *, host="h.example", **limits):
+    """Returns a configuration; rules are (prefix, kind, service, fields)."""
+    return {
+        "specification": {
+            "version": version,
+            "limits": {
+                "maxHeaderBytes": 16384,
+                "maxBodyBytes": 100_000,
+                "headerTimeoutS": 3,
+                "idleTimeoutS": 15,
+                **limits,
+            },
+            "listeners": [
+                {
+                    "host": host,
+                    "rules": [
+                        {
+                            "name": f"r{index}",
+                            "kind": kind,
+                            "targetLatencyS": 0.6,
+                            "priority": 1,
+                            "matchRule": {"pathPrefix": prefix},
+                            "routeAction": {
+                                "service": service,
+                                "timeoutS": 1.2,
+                                "maxAttempts": 2,
+                                **fields,
+                            },
+                        }
+                        for index, (prefix, kind, service, fields) in (
+                            enumerate(rules)
+                        )
+                    ],
+                }
+            ],
+            "upstreamClusters": [
+                {
+                    "name": name,
+                    "healthPath": "/health",
+                    "maxConns": 100,
+                    "protocol": "h1",
+                    "tls": False,
+                    "warmupS": 3.0,
+                    "warmupPerS": 2.0,
+                }
+                for name in ("s", "t")
+            ],
+        }
+    }
--- /dev/null
+++ b/tests/adapter/test_documents.py
@@ -0,0 +1,121 @@
+"""Tests of the objects in the store."""
+
+import json
+
+import pytest
+import standin
+
+import banyandale_adapter as adapter
+import banyandale_direct as direct
+import banyandale_platform as platform
+
+ZONES = {"a": "r"}
+DIALECT = adapter.StoreDialect()
+
+
+def make_stored(value, kind="servers", name="i-1"):
+    return platform.StoredObject(
+        kind=kind, name=name, version=1, value=json.dumps(value).encode()
+    )
+
+
+def make_entry(**fields):
+    server = standin.ServerStandin("i-1")
+    server.address = "127.0.0.1:80"
+    return server.entry("s", **fields)
+
+
+def test_an_entry_is_read_whole():
+    """Guards against fields that are read from the wrong place."""
+    entry = make_entry(state="draining")
+    entry["status"]["warmupLeftS"] = 1.5
+    read = DIALECT.read_server(make_stored(entry), zones=ZONES)
+    assert read == direct.Server(
+        id="i-1",
+        address="127.0.0.1:80",
+        service="s",
+        zone="a",
+        slots=2,
+        leaving=True,
+        cold_seconds=1.5,
+        started_unix_ms=1_787_000_000_000,
+    )
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (("specification", "address"), 80),
+        (("specification", "address"), "nowhere"),
+        (("specification", "born"), "1787000000000"),
+        (("specification", "born"), 1.5),
+        (("specification", "nodeInfo", "service"), None),
+        (("specification", "nodeInfo", "zone"), "moon"),
+        (("specification", "nodeInfo", "capacitySlots"), "2"),
+        (("specification", "nodeInfo"), []),
+        (("status", "state"), "sleeping"),
+        (("status", "seq"), "4"),
+        (("status",), None),
+        (("specification",), "x"),
+    ],
+)
+def test_entries_of_other_writers_name_no_server(path, value):
+    """Guards against calls to what another program wrote."""
+    entry = make_entry()
+    *parents, last = path
+    target = entry
+    for key in parents:
+        target = target[key]
+    target[last] = value
+    with pytest.raises(direct.MalformedEntryError):
+        DIALECT.read_server(make_stored(entry), zones=ZONES)
+
+
+def test_a_configuration_is_read_whole():
+    """Guards against routes, shares or limits that are lost."""
+    split = [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}]
+    document = standin.make_configuration(
+        7,
+        [
+            ("/x/", "idempotent", None, {"trafficSplit": split}),
+            ("/y/", "non_idempotent", "t", {"timeoutS": 1.5}),
+            ("/z/", "download", "t", {}),
+        ],
+        host="H.example",
+        idleTimeoutS=9,
+    )
+    read = DIALECT.read_configuration(make_stored(document, "config", "main"))
+    assert read.version == 7
+    x, y, z = read.hosts["h.example"]
+    assert [(s.service, s.weight) for s in x.shares] == [("s", 90), ("t", 10)]
+    assert (x.repeatable, y.repeatable, z.repeatable) == (True, False, True)
+    assert (y.wait_seconds, y.max_attempts, y.target_seconds) == (1.5, 2, 0.6)
+    assert read.limits.idle_seconds == 9
+    assert read.services["s"].cold_calls_per_second == 2.0
+
+
+def test_a_configuration_that_cannot_be_read_is_refused():
+    """Guards against a broken configuration that replaces a good one."""
+    document = standin.make_configuration(
+        7, [("/x/", "idempotent", "missing", {})]
+    )
+    with pytest.raises(direct.MalformedEntryError):
+        DIALECT.read_configuration(make_stored(document, "config", "main"))
+    document["specification"]["listeners"] = 3
+    with pytest.raises(direct.MalformedEntryError):
+        DIALECT.read_configuration(make_stored(document, "config", "main"))
+    assert (
+        DIALECT.read_configuration(make_stored({}, "config", "other")) is None
+    )
+
+
+def test_gateways_find_their_entries():
+    """Guards against entries that other gateways cannot read."""
+    member = direct.Member(
+        ip="10.0.0.1", zone="a", started_unix_ms=1, beat=2, ready=True
+    )
+    value = json.loads(DIALECT.write_member(member))
+    read = DIALECT.read_member(make_stored(value, "gateways", "10.0.0.1"))
+    assert (read.ip, read.zone, read.ready) == ("10.0.0.1", "a", False)
+    with pytest.raises(direct.MalformedEntryError):
+        DIALECT.read_member(make_stored(value, "gateways", "x"))
--- /dev/null
+++ b/tests/adapter/test_servers.py
@@ -0,0 +1,95 @@
+"""Tests of what backend servers read and answer."""
+
+import pytest
+
+import banyandale_adapter as adapter
+import banyandale_direct as direct
+import banyandale_http as http
+
+DIALECT = adapter.ServerDialect()
+KIND = direct.AnswerKind
+
+
+def make_call(**headers):
+    request = http.Request(
+        method=b"POST",
+        target=b"/x/1?y=2",
+        headers=(
+            (b"host", b"h.example"),
+            (b"x-request-id", b"ab"),
+            (b"x-deadline-ms", b"2500"),
+            (b"x-expect-instance", b"forged"),
+        ),
+        body=b"body",
+    )
+    return adapter.CallerDialect().read_call(request)
+
+
+def test_a_call_names_its_server_and_the_time_left():
+    """Guards against a caller that chooses the server or its deadline."""
+    request = DIALECT.write_call(
+        make_call(), server_id="i-1", remaining_seconds=1.2345
+    )
+    assert request.header(b"x-deadline-ms") == b"1234"
+    assert request.header(b"x-expect-instance") == b"i-1"
+    names = [name for name, _ in request.headers]
+    assert len(names) == len(set(names))
+    assert (request.target, request.body) == (b"/x/1?y=2", b"body")
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "kind"),
+    [
+        (200, (b"x-response-seal",), KIND.SERVED),
+        (200, (), KIND.INVALID),
+        (500, (b"x-response-seal",), KIND.FAILED),
+        (503, (), KIND.FAILED),
+        (503, (b"x-not-executed",), KIND.SHED),
+        (429, (b"x-not-executed",), KIND.SHED),
+        (400, (b"x-not-executed",), KIND.EXPIRED),
+        (421, (), KIND.MISDIRECTED),
+    ],
+)
+def test_only_the_server_says_that_it_did_not_run(status, headers, kind):
+    """Guards against a second run after an answer that promises nothing."""
+    response = http.Response(
+        status=status, headers=tuple((name, b"1") for name in headers)
+    )
+    assert DIALECT.read_answer(response) is kind
+
+
+def test_answers_to_other_requests_are_told_apart():
+    """Guards against a late second answer that ends another call."""
+    call = make_call()
+    own = http.ResponseHead(status=200, headers=((b"x-request-id", b"ab"),))
+    other = http.ResponseHead(status=200, headers=((b"x-request-id", b"cd"),))
+    assert DIALECT.is_own_answer(call, own)
+    assert not DIALECT.is_own_answer(call, other)
+    assert not DIALECT.is_report(other)
+
+
+@pytest.mark.parametrize(
+    ("load", "expected"),
+    [
+        (b"3,1,8", (3, 1, 8, 1.0)),
+        (b"3,1,8,400", (3, 1, 8, 4.0)),
+        (b"three", (0, 0, 1, 1.0)),
+        (b"", (0, 0, 1, 1.0)),
+    ],
+)
+def test_reports_are_read(load, expected):
+    """Guards against a report that cannot be read ending the call."""
+    report = DIALECT.read_report(
+        http.Response(
+            status=503,
+            headers=(
+                (b"x-server-load", load),
+                (b"x-warmup-ms", b"1500"),
+                (b"x-instance-id", b"i-1"),
+            ),
+        )
+    )
+    assert not report.healthy
+    assert (report.server_id, report.cold_seconds) == ("i-1", 1.5)
+    found = (report.running, report.waiting, report.slots, report.slowness)
+    assert found == expected
