direct: beliefs, lookups and returns after short limits and sheds

Change: a call without an answer speaks against its server only after 2.5 times what was expected; a lookup uses the current readiness; the time to come back follows the report.

--- a/libs/direct/src/banyandale_direct/_beliefs.py
+++ b/libs/direct/src/banyandale_direct/_beliefs.py
@@ -17,6 +17,14 @@
 # A server that sheds although its report shows free slots is busy for a
 # reason that the report does not show.
 SHED_PAUSE_SECONDS = 0.3
+# A call without an answer after this multiple of what was expected speaks
+# against its server; routes with short time limits end calls sooner.
+OVERDUE_FACTOR = 2.5
+
+
+def is_overdue(seconds: float, *, expected_seconds: float) -> bool:
+    """Whether a call took so long that its server may be at fault."""
+    return seconds >= expected_seconds * OVERDUE_FACTOR
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -339,9 +339,10 @@
             )
         last = self._attempts[-1]
         wait = last.wait_seconds
-        if last.refusal is None:
-            demand = self._shared.demands.find(self._service.name)
-            wait = demand.work_seconds
+        if last.refusal is None and last.report is not None:
+            # A server that sheds with free slots may take the next call.
+            work = self._shared.demands.find(self._service.name).work_seconds
+            wait = placement.estimate_seconds(last.report, work) - work
         return refuse_not_run(
             last.refusal or admission.Refusal.NO_ROOM,
             admission.return_seconds(
@@ -468,6 +469,10 @@
             return
         if attempt.error == "server_left":
             return
+        if attempt.error == http.ResponseTimeoutError.code and (
+            not self._is_overdue(attempt, seconds)
+        ):
+            return
         until = shared.beliefs.record_failure(server_id, now=now)
         shared.events.write(
             "server_avoided",
@@ -478,6 +483,13 @@
             avoid_seconds=round(until - now, 2),
         )
 
+    def _is_overdue(self, attempt: _Attempt, seconds: float) -> bool:
+        """Whether a call without an answer speaks against its server."""
+        work = self._shared.demands.find(self._service.name).work_seconds
+        if attempt.report is not None:
+            work = placement.estimate_seconds(attempt.report, work)
+        return beliefs.is_overdue(seconds, expected_seconds=work)
+
     def _log_placed(self, probe: channels.Probe, now: float) -> None:
         report = probe.candidate.report
         server = probe.candidate.entry.server
--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -224,6 +224,8 @@
         lookup = self._adapter.callers.read_lookup(request)
         if lookup is None:
             return http.Response(status=NOT_FOUND_STATUS)
+        # The next round may be half a second away.
+        self._table.set_ready(self.is_ready())
         addresses = lookups.choose_addresses(
             self._table.live(now=time.monotonic()),
             zone=lookup.zone,
--- a/libs/direct/src/banyandale_direct/_members.py
+++ b/libs/direct/src/banyandale_direct/_members.py
@@ -86,6 +86,10 @@
             self._own, beat=self._own.beat + 1, ready=ready
         )
 
+    def set_ready(self, ready: bool) -> None:
+        """Notes whether callers may be sent to this gateway."""
+        self._own = dataclasses.replace(self._own, ready=ready)
+
     def merge(self, members: Iterable[Member], *, now: float) -> list[str]:
         """Takes over what another gateway knows.
 
--- a/libs/direct/tests/test_beliefs.py
+++ b/libs/direct/tests/test_beliefs.py
@@ -31,3 +31,13 @@
     known.find("b")
     known.keep_only(frozenset())
     assert known.find("a").in_flight == 1
+
+
+def test_short_time_limits_do_not_speak_against_a_server():
+    """Guards against sound servers that are avoided for a route's limit.
+
+    On quiet-1 of the first site 56 servers were avoided, most of them after
+    calls on a route whose limit is below twice the usual work.
+    """
+    assert not beliefs.is_overdue(0.4, expected_seconds=0.22)
+    assert beliefs.is_overdue(1.2, expected_seconds=0.22)
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -169,6 +169,9 @@
     """Guards against a path that loses parts of a request or its answer."""
 
     async def scenario(deployment, ip):
+        # A gateway that says that it is ready also names itself to callers.
+        lookup = "/banyandale/resolve?name=h.example&region=r&zone=a"
+        assert (await deployment.send(ip, lookup, port=LOOKUP)).status == 200
         response = await deployment.send(
             ip, "/write/x?y=1", method="POST", body=b"data"
         )
