direct: no queueing at servers; estimates by route; few servers per gateway

Cause: calls that queue at a server start at a slowness that is left to chance (1.75 on average); a call that starts on a slow machine takes a slot four times as long. A deposit of 0.29 s was started on a machine at 4.0 with 1.22 s left and ended as 504.

Change: a call is sent to a free slot only; one that is late in any case waits up to 0.4 s for a machine that is not slow. Work and size are averaged by route. A gateway asks eight servers of a larger group.

--- a/libs/direct/src/banyandale_direct/_admission.py
+++ b/libs/direct/src/banyandale_direct/_admission.py
@@ -32,6 +32,9 @@
 # With this many calls waiting per slot a server's queue is so long that a
 # place in it is worth nothing to a call with a target.
 CROWDED_WAITING_PER_SLOT = 1
+# How much longer a call that is late in any case waits: slow stretches last
+# 300 ms (the users' site files).
+LATE_HOLD_SECONDS = 0.4
 # Pause between two looks for room.
 HOLD_STEP_SECONDS = 0.04
 
@@ -117,6 +120,14 @@
         """When an idle server can just meet the target."""
         return self.target_at - self.work_seconds * WORK_MARGIN
 
+    @property
+    def give_up_at(self) -> float:
+        """Until when a call that is late waits for a normal server."""
+        return min(
+            self.last_chance_at + LATE_HOLD_SECONDS,
+            self.answer_by - self.work_seconds * WORK_MARGIN,
+        )
+
 
 def decide(
     report: placement.LoadReport,
@@ -139,14 +150,20 @@
             large answer it is worth waiting for a server of the own zone.
     """
     estimate = placement.estimate_seconds(report, prospect.work_seconds)
-    if now + estimate + crossing_seconds <= prospect.target_at:
+    free = report.running < report.slots
+    if free and now + estimate + crossing_seconds <= prospect.target_at:
         return Verdict.SEND
     if report.waiting >= report.slots * CROWDED_WAITING_PER_SLOT:
         # Too many wait already; the caller is better off coming back.
         return Verdict.REJECT
     if now + HOLD_STEP_SECONDS <= prospect.last_chance_at:
         return Verdict.WAIT
-    return Verdict.SEND if report.waiting == 0 else Verdict.REJECT
+    if free and report.slowness <= placement.NORMAL_SLOWNESS:
+        return Verdict.SEND
+    if now + HOLD_STEP_SECONDS <= prospect.give_up_at:
+        return Verdict.WAIT
+    in_time = now + estimate * WORK_MARGIN <= prospect.answer_by
+    return Verdict.SEND if free and in_time else Verdict.REJECT
 
 
 def return_seconds(
--- a/libs/direct/src/banyandale_direct/_calls.py
+++ b/libs/direct/src/banyandale_direct/_calls.py
@@ -169,7 +169,7 @@
                 refusal=admission.Refusal.NO_ROUTE,
             ), None
         service = current.services[self._rotations.choose(route)]
-        if not self._takes(service.name):
+        if not self._takes(route.name):
             return forwarding.refuse_not_run(
                 admission.Refusal.STOPPING, STOPPING_RETURN_SECONDS
             ), None
@@ -189,12 +189,12 @@
         )
         return await exchange.run(connection), exchange
 
-    def _takes(self, service: str) -> bool:
+    def _takes(self, route: str) -> bool:
         if self.stop is None:
             return True
         return self.stop.takes_call(
             now=time.monotonic(),
-            estimate_seconds=self._shared.demands.find(service).work_seconds,
+            estimate_seconds=self._shared.demands.find(route).work_seconds,
         )
 
     def _log(
--- a/libs/direct/src/banyandale_direct/_channels.py
+++ b/libs/direct/src/banyandale_direct/_channels.py
@@ -22,8 +22,6 @@
 # After the first report, the others get this much longer.
 SETTLE_SECONDS = 0.012
 MAX_REPORT_BYTES = 65536
-# A report of a server with this slowness counts as normal.
-NORMAL_SLOWNESS = 1.05
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -202,6 +200,6 @@
         and report.healthy
         and report.running == 0
         and report.waiting == 0
-        and report.slowness <= NORMAL_SLOWNESS
+        and report.slowness <= placement.NORMAL_SLOWNESS
         and report.cold_seconds <= 0
     )
--- a/libs/direct/src/banyandale_direct/_demands.py
+++ b/libs/direct/src/banyandale_direct/_demands.py
@@ -1,4 +1,7 @@
-"""Running averages of what the calls of each service need."""
+"""Running averages of what the calls of each route need.
+
+A service may get calls of several routes, which differ in work and size.
+"""
 
 from banyandale_direct import _placement as placement
 
@@ -29,35 +32,35 @@
 
 
 class DemandTracker:
-    """Averages the work and the answer size of each service."""
+    """Averages the work and the answer size of each route."""
 
     def __init__(self) -> None:
         self._work: dict[str, float] = {}
         self._bytes: dict[str, float] = {}
 
-    def find(self, service: str) -> placement.Demand:
-        """Returns what a call of the service usually needs."""
+    def find(self, route: str) -> placement.Demand:
+        """Returns what a call of the route usually needs."""
         return placement.Demand(
-            work_seconds=self._work.get(service, FIRST_WORK_SECONDS),
-            answer_bytes=self._bytes.get(service, 0.0),
+            work_seconds=self._work.get(route, FIRST_WORK_SECONDS),
+            answer_bytes=self._bytes.get(route, 0.0),
         )
 
     def record(
-        self, service: str, *, work_seconds: float | None, answer_bytes: int
+        self, route: str, *, work_seconds: float | None, answer_bytes: int
     ) -> None:
         """Adds an answered call.
 
         Args:
-            service: Name of the service.
+            route: Name of the route.
             work_seconds: Time on an idle, normal server; None if not known.
             answer_bytes: Size of the answer.
         """
-        work = self._work.get(service)
+        work = self._work.get(route)
         if work_seconds is not None:
             if work is None:
-                self._work[service] = work_seconds
+                self._work[route] = work_seconds
             else:
                 sample = min(work_seconds, work * LONGEST_SAMPLE_FACTOR)
-                self._work[service] = work + (sample - work) * SAMPLE_WEIGHT
-        size = self._bytes.get(service, float(answer_bytes))
-        self._bytes[service] = size + (answer_bytes - size) * SAMPLE_WEIGHT
+                self._work[route] = work + (sample - work) * SAMPLE_WEIGHT
+        size = self._bytes.get(route, float(answer_bytes))
+        self._bytes[route] = size + (answer_bytes - size) * SAMPLE_WEIGHT
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -281,7 +281,7 @@
             return False
         if not self._attempts_left():
             return False
-        work = self._shared.demands.find(self._service.name).work_seconds
+        work = self._shared.demands.find(self._route.name).work_seconds
         in_time = admission.fits(
             estimate_seconds=work,
             now=time.monotonic(),
@@ -341,7 +341,7 @@
         wait = last.wait_seconds
         if last.refusal is None and last.report is not None:
             # A server that sheds with free slots may take the next call.
-            work = self._shared.demands.find(self._service.name).work_seconds
+            work = self._shared.demands.find(self._route.name).work_seconds
             wait = placement.estimate_seconds(last.report, work) - work
         return refuse_not_run(
             last.refusal or admission.Refusal.NO_ROOM,
@@ -384,7 +384,7 @@
     def _plan_hedge(self, sent_at: float) -> None:
         if len(self._attempts) > 1 or not self._route.repeatable:
             return
-        demand = self._shared.demands.find(self._service.name)
+        demand = self._shared.demands.find(self._route.name)
         self._hedge_at = hedging.hedge_at(
             started_at=self._started_at,
             sent_at=sent_at,
@@ -452,7 +452,7 @@
             if attempt.report is not None:
                 work = placement.estimate_work(attempt.report, seconds)
             shared.demands.record(
-                self._service.name,
+                self._route.name,
                 work_seconds=work,
                 answer_bytes=len(attempt.response.body),
             )
@@ -485,7 +485,7 @@
 
     def _is_overdue(self, attempt: _Attempt, seconds: float) -> bool:
         """Whether a call without an answer speaks against its server."""
-        work = self._shared.demands.find(self._service.name).work_seconds
+        work = self._shared.demands.find(self._route.name).work_seconds
         if attempt.report is not None:
             work = placement.estimate_seconds(attempt.report, work)
         return beliefs.is_overdue(seconds, expected_seconds=work)
@@ -538,7 +538,7 @@
             attempt.refusal = admission.Refusal.NO_SERVER
             attempt.wait_seconds = admission.LONGEST_RETURN_SECONDS / 2
             return None
-        demand = shared.demands.find(self._service.name)
+        demand = shared.demands.find(self._route.name)
         zone = shared.settings.zone
         local = [e for e in entries if e.server.zone == zone]
         remote = [e for e in entries if e.server.zone != zone]
@@ -559,7 +559,11 @@
                 if probes and not placement.should_widen(candidate, demand):
                     break
                 drawn = placement.draw_servers(
-                    group, shared.beliefs, now=now, random_source=shared.random
+                    group,
+                    shared.beliefs,
+                    gateway=shared.members.own.ip,
+                    now=now,
+                    random_source=shared.random,
                 )
                 probes += await probing.ask(drawn)
             chosen = self._admit(attempt, probes, demand)
--- a/libs/direct/src/banyandale_direct/_placement.py
+++ b/libs/direct/src/banyandale_direct/_placement.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Sequence
 import dataclasses
+import hashlib
 import random
 
 from banyandale_direct import _beliefs as beliefs
@@ -19,10 +20,17 @@
 # Servers asked per zone and call. More find few better servers and cost
 # processor time (0.6 ms a report).
 PROBES_PER_ROUND = 4
+# Servers of a group that a gateway uses while they are sound.
+SUBSET_SIZE = 8
 # A server slows down once this share of its slots is taken, by this factor
 # (the users' site files: knee 0.8, 1.7).
 CROWDED_SHARE = 0.8
 CROWDED_FACTOR = 1.7
+# Average slowness of a machine (the users' site files: a quarter to a third
+# of the time at 4).
+USUAL_SLOWNESS = 1.75
+# A machine up to this slowness counts as normal.
+NORMAL_SLOWNESS = 1.05
 # Slowness below this is not believed.
 LEAST_SLOWNESS = 0.5
 # A cold server takes twice as long (the users' site files).
@@ -86,7 +94,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Demand:
-    """What the calls of a service usually need.
+    """What the calls of a route usually need.
 
     Attributes:
         work_seconds: Time that an idle, normal server takes.
@@ -110,9 +118,10 @@
     if report.cold_seconds > 0:
         own *= COLD_FACTOR
     ahead = max(report.running + report.waiting - slots + 1, 0)
-    # Calls that are ahead started at a slowness that is not known.
-    queued = own * ahead / slots
-    return queued + own * max(report.slowness, LEAST_SLOWNESS)
+    if ahead == 0:
+        return own * max(report.slowness, LEAST_SLOWNESS)
+    # How slow the machine is when the call starts is not known yet.
+    return own * ahead / slots + own * USUAL_SLOWNESS
 
 
 def estimate_work(report: LoadReport, seconds: float) -> float | None:
@@ -176,19 +185,35 @@
     entries: Sequence[registry.Entry],
     known: beliefs.Beliefs,
     *,
+    gateway: str,
     now: float,
     random_source: random.Random,
     count: int = PROBES_PER_ROUND,
 ) -> list[registry.Entry]:
-    """Draws the servers to ask: at random, avoided ones only as a rest."""
-    drawn = list(entries)
-    random_source.shuffle(drawn)
-    drawn.sort(
-        key=lambda entry: (
-            known.find(
-                entry.server.id, started_unix_ms=entry.server.started_unix_ms
-            ).avoid_until
-            > now
+    """Draws the servers to ask, avoided ones only as a rest.
+
+    They are drawn from the gateway's own few servers of the group, so that
+    it needs few connections; the gateways' choices differ.
+    """
+
+    def is_avoided(entry: registry.Entry) -> bool:
+        belief = known.find(
+            entry.server.id, started_unix_ms=entry.server.started_unix_ms
         )
-    )
-    return drawn[:count]
+        return belief.avoid_until > now
+
+    sound = [entry for entry in entries if not is_avoided(entry)]
+    if len(sound) > SUBSET_SIZE:
+        sound.sort(key=lambda entry: _place(gateway, entry.server.id))
+        sound = sound[:SUBSET_SIZE]
+    drawn = random_source.sample(sound, min(count, len(sound)))
+    if len(drawn) < count:
+        rest = [entry for entry in entries if is_avoided(entry)]
+        random_source.shuffle(rest)
+        drawn += rest[: count - len(drawn)]
+    return drawn
+
+
+def _place(gateway: str, server_id: str) -> bytes:
+    text = f"{gateway}\n{server_id}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
