direct: servers that do not report are avoided and not waited for

Change: a missing report counts as a failure. Servers that have just failed are asked last, after those of other zones. After two failures in a row a server without a report gets no call, and a call without any server is rejected at once. Reports have 120 ms. The own zone's servers beyond the preferred few are asked before other zones.

--- a/libs/direct/src/banyandale_direct/_beliefs.py
+++ b/libs/direct/src/banyandale_direct/_beliefs.py
@@ -7,6 +7,8 @@
 
 import dataclasses
 
+from banyandale_direct import _registry as registry
+
 # A failing server is left alone for this long after its first failure, twice
 # as long after each further one. The first figure is short because one
 # failure in a few hundred is normal (the users' services fail up to 0.4%).
@@ -17,6 +19,9 @@
 # A server that sheds although its report shows free slots is busy for a
 # reason that the report does not show.
 SHED_PAUSE_SECONDS = 0.3
+# After this many failures in a row a server that does not even report its load
+# gets no call; one whose report is late for once does.
+UNREACHABLE_FAILURES = 2
 # A call without an answer after this multiple of what was expected speaks
 # against its server; routes with short time limits end calls sooner.
 OVERDUE_FACTOR = 2.5
@@ -62,6 +67,11 @@
             belief.started_unix_ms = started_unix_ms
         return belief
 
+    def is_avoided(self, server: registry.Server, *, now: float) -> bool:
+        """Whether other servers are preferred to this one."""
+        belief = self.find(server.id, started_unix_ms=server.started_unix_ms)
+        return belief.avoid_until > now
+
     def record_success(self, server_id: str) -> None:
         """Counts an answered call."""
         belief = self._beliefs.get(server_id)
--- a/libs/direct/src/banyandale_direct/_channels.py
+++ b/libs/direct/src/banyandale_direct/_channels.py
@@ -16,9 +16,10 @@
 # Idle connections kept to one server. A gateway rarely has more calls than
 # this at one server, which runs two at a time.
 IDLE_CONNECTIONS = 3
-# A report has to arrive within this time. Reports come at once, within one or
-# two round trips of at most 8 ms; a retransmission takes 200 ms.
-REPORT_SECONDS = 0.25
+# A report has to arrive within this time. Reports come within 6 ms of their
+# arrival, after one or two round trips of at most 8 ms; a server that takes
+# longer is no better than one of another zone.
+REPORT_SECONDS = 0.12
 # After the first report, the others get this much longer.
 SETTLE_SECONDS = 0.012
 MAX_REPORT_BYTES = 65536
@@ -169,16 +170,15 @@
         self, entry: registry.Entry, now: float, deadline: float
     ) -> None:
         server = entry.server
-        belief = self._known.find(
-            server.id, started_unix_ms=server.started_unix_ms
-        )
         probe = await self._channels.probe(
             entry,
             self._service,
             local=server.zone == self._zone,
-            avoided=belief.avoid_until > now,
+            avoided=self._known.is_avoided(server, now=now),
             deadline=deadline,
         )
+        if probe.candidate.report is None:
+            self._known.record_failure(server.id, now=time.monotonic())
         if self._closed:
             await self._channels.release(probe)
         else:
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -540,8 +540,13 @@
             return None
         demand = shared.demands.find(self._route.name)
         zone = shared.settings.zone
-        local = [e for e in entries if e.server.zone == zone]
-        remote = [e for e in entries if e.server.zone != zone]
+        groups = placement.list_groups(
+            entries,
+            shared.beliefs,
+            gateway=shared.members.own.ip,
+            zone=zone,
+            now=now,
+        )
         probing = channels.ProbeRound(
             channels=shared.channels,
             service=self._service,
@@ -551,19 +556,16 @@
         probes: list[channels.Probe] = []
         chosen = None
         try:
-            for group in (local, remote):
-                if not group:
-                    continue
+            for group in groups:
                 best = self._best(probes, demand)
-                candidate = best.candidate if best else None
-                if probes and not placement.should_widen(candidate, demand):
+                if probes and not placement.should_widen(
+                    best.candidate if best else None,
+                    demand,
+                    crossing=not group.local,
+                ):
                     break
                 drawn = placement.draw_servers(
-                    group,
-                    shared.beliefs,
-                    gateway=shared.members.own.ip,
-                    now=now,
-                    random_source=shared.random,
+                    group, random_source=shared.random
                 )
                 probes += await probing.ask(drawn)
             chosen = self._admit(attempt, probes, demand)
@@ -662,6 +664,12 @@
     ) -> tuple[admission.Refusal | None, float]:
         """Returns why a server may not get the call, and for how long."""
         if candidate.report is None:
+            belief = self._shared.beliefs.find(
+                candidate.entry.server.id,
+                started_unix_ms=candidate.entry.server.started_unix_ms,
+            )
+            if belief.failures >= beliefs.UNREACHABLE_FAILURES:
+                return admission.Refusal.NO_SERVER, demand.work_seconds
             return None, 0.0
         return admission.check_report(
             candidate.report,
--- a/libs/direct/src/banyandale_direct/_placement.py
+++ b/libs/direct/src/banyandale_direct/_placement.py
@@ -20,8 +20,8 @@
 # Servers asked per zone and call. More find few better servers and cost
 # processor time (0.6 ms a report).
 PROBES_PER_ROUND = 4
-# Servers of a group that a gateway uses while they are sound.
-SUBSET_SIZE = 8
+# Servers of the own zone, and of all others, that a gateway prefers.
+SUBSET_SIZE = 6
 # A server slows down once this share of its slots is taken, by this factor
 # (the users' site files: knee 0.8, 1.7).
 CROWDED_SHARE = 0.8
@@ -173,45 +173,76 @@
     return random_source.choice(best)
 
 
-def should_widen(best: Candidate | None, demand: Demand) -> bool:
-    """Whether servers of other zones could be better than the local best."""
+def should_widen(
+    best: Candidate | None, demand: Demand, *, crossing: bool
+) -> bool:
+    """Whether servers of the next group could be better than the best.
+
+    Args:
+        best: The best server so far.
+        demand: What the call needs.
+        crossing: Whether the next group is in other zones.
+    """
     if best is None:
         return True
-    idle = demand.work_seconds * WIDEN_FACTOR + demand.crossing_seconds
+    idle = demand.work_seconds * WIDEN_FACTOR
+    if crossing:
+        idle += demand.crossing_seconds
     return rank(best, demand) > idle
 
 
-def draw_servers(
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Group:
+    """Servers that are asked together.
+
+    Attributes:
+        entries: The servers.
+        local: Whether they are in the gateway's own zone.
+    """
+
+    entries: tuple[registry.Entry, ...]
+    local: bool
+
+
+def list_groups(
     entries: Sequence[registry.Entry],
     known: beliefs.Beliefs,
     *,
     gateway: str,
+    zone: str,
     now: float,
-    random_source: random.Random,
-    count: int = PROBES_PER_ROUND,
-) -> list[registry.Entry]:
-    """Draws the servers to ask, avoided ones only as a rest.
+) -> list[Group]:
+    """Returns groups of servers in the order in which they are asked.
 
-    They are drawn from the gateway's own few servers of the group, so that
-    it needs few connections; the gateways' choices differ.
+    First come a few of the own zone, so that a gateway needs few connections
+    (the gateways' choices differ), then the rest of the own zone, then a few
+    of other zones, last those that have just failed: to wait for the report
+    of a server that is gone takes longer than many calls.
     """
+    avoided = [e for e in entries if known.is_avoided(e.server, now=now)]
+    sound = [e for e in entries if not known.is_avoided(e.server, now=now)]
+    local = [e for e in sound if e.server.zone == zone]
+    remote = [e for e in sound if e.server.zone != zone]
+    for few in (local, remote):
+        if len(few) > SUBSET_SIZE:
+            few.sort(key=lambda entry: _place(gateway, entry.server.id))
+    groups = [
+        Group(entries=tuple(local[:SUBSET_SIZE]), local=True),
+        Group(entries=tuple(local[SUBSET_SIZE:]), local=True),
+        Group(entries=tuple(remote[:SUBSET_SIZE]), local=False),
+        Group(entries=tuple(avoided), local=False),
+    ]
+    return [group for group in groups if group.entries]
+
 
-    def is_avoided(entry: registry.Entry) -> bool:
-        belief = known.find(
-            entry.server.id, started_unix_ms=entry.server.started_unix_ms
-        )
-        return belief.avoid_until > now
-
-    sound = [entry for entry in entries if not is_avoided(entry)]
-    if len(sound) > SUBSET_SIZE:
-        sound.sort(key=lambda entry: _place(gateway, entry.server.id))
-        sound = sound[:SUBSET_SIZE]
-    drawn = random_source.sample(sound, min(count, len(sound)))
-    if len(drawn) < count:
-        rest = [entry for entry in entries if is_avoided(entry)]
-        random_source.shuffle(rest)
-        drawn += rest[: count - len(drawn)]
-    return drawn
+def draw_servers(
+    group: Group,
+    *,
+    random_source: random.Random,
+    count: int = PROBES_PER_ROUND,
+) -> list[registry.Entry]:
+    """Draws the servers of a group that are asked."""
+    return random_source.sample(group.entries, min(count, len(group.entries)))
 
 
 def _place(gateway: str, server_id: str) -> bytes:
--- a/libs/direct/tests/test_placement.py
+++ b/libs/direct/tests/test_placement.py
@@ -70,27 +70,38 @@
 
 def test_other_zones_are_asked_when_the_own_is_crowded():
     """Guards against reports from other zones for each call."""
-    assert not placement.should_widen(make_candidate("idle"), DEMAND)
-    assert placement.should_widen(make_candidate("x", running=2), DEMAND)
-    assert placement.should_widen(None, DEMAND)
+    for crossing in (False, True):
+        idle, full = make_candidate("idle"), make_candidate("x", running=2)
+        assert not placement.should_widen(idle, DEMAND, crossing=crossing)
+        assert placement.should_widen(full, DEMAND, crossing=crossing)
+        assert placement.should_widen(None, DEMAND, crossing=crossing)
+    half = make_candidate("half", running=1)
+    assert not placement.should_widen(half, LARGE, crossing=True)
+    assert placement.should_widen(half, LARGE, crossing=False)
 
 
 def test_failing_servers_are_asked_last():
-    """Guards against rounds that only ask servers that just failed."""
+    """Guards against waits for reports of servers that are gone.
+
+    On scale-2 of the second site a zone was dark, and each call in it waited
+    250 ms for reports before it asked another zone.
+    """
     known = beliefs.Beliefs()
-    entries = [make_entry(str(number)) for number in range(6)]
+    entries = [make_entry(f"dark-{number}") for number in range(3)]
+    entries += [make_entry("far", "b")]
     for number in range(3):
-        known.find(str(number))
-        known.record_failure(str(number), now=0.0)
-    drawn = placement.draw_servers(
-        entries,
-        known,
-        gateway="g",
-        now=0.1,
-        random_source=random.Random(1),
-        count=3,
-    )
-    assert {entry.server.id for entry in drawn} == {"3", "4", "5"}
+        known.find(f"dark-{number}")
+        known.record_failure(f"dark-{number}", now=0.0)
+
+    def list_first(now):
+        groups = placement.list_groups(
+            entries, known, gateway="g", zone="a", now=now
+        )
+        return {entry.server.id for entry in groups[0].entries}
+
+    assert list_first(0.1) == {"far"}
+    late = beliefs.FIRST_PAUSE_SECONDS
+    assert list_first(late) == {"dark-0", "dark-1", "dark-2"}
 
 
 class Machines:
@@ -176,22 +187,19 @@
 
     Replays 49 gateways of a zone with 38 servers, as on the larger site.
     """
-    known = beliefs.Beliefs()
     entries = [make_entry(str(number)) for number in range(38)]
+    entries += [make_entry(f"far-{number}", "b") for number in range(38)]
     used = set()
     for gateway in range(49):
-        source = random.Random(gateway)
-        own = {
-            entry.server.id
-            for _ in range(50)
-            for entry in placement.draw_servers(
-                entries,
-                known,
-                gateway=str(gateway),
-                now=0.0,
-                random_source=source,
-            )
-        }
-        assert len(own) == placement.SUBSET_SIZE
-        used |= own
-    assert len(used) == 38
+        few, rest, far = placement.list_groups(
+            entries,
+            beliefs.Beliefs(),
+            gateway=str(gateway),
+            zone="a",
+            now=0.0,
+        )
+        assert len(few.entries) == len(far.entries) == placement.SUBSET_SIZE
+        assert len(few.entries) + len(rest.entries) == 38
+        assert not far.local
+        used |= {e.server.id for e in (*few.entries, *far.entries)}
+    assert len(used) == 76
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -403,3 +404,40 @@
         await sock.close()
 
     run(tmp_path, scenario)
+
+
+def test_calls_for_servers_that_are_gone_are_rejected_at_once(tmp_path):
+    """Guards against calls that wait for their deadline when all is dark."""
+
+    async def scenario(deployment, ip):
+        for server in deployment.servers:
+            # Nothing listens there, and nothing refuses.
+            server.address = "127.0.7.250:9"
+            await deployment.register(server)
+        listener = await curio.run_in_thread(hold_backlog, "127.0.7.250", 9)
+        try:
+            await wait_until(
+                lambda: len(deployment.read_events(ip, "server_entry")) >= 3
+            )
+            started = time.monotonic()
+            statuses = []
+            for number in range(12):
+                response = await deployment.send(
+                    ip, "/write/x", method="POST", name=f"n{number}"
+                )
+                statuses.append(response.status)
+            assert statuses[-4:] == [503] * 4
+            assert time.monotonic() - started < 12
+        finally:
+            listener.close()
+
+    run(tmp_path, scenario)
+
+
+def hold_backlog(ip, port):
+    """Returns a listener that accepts nothing."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((ip, port))
+    sock.listen(128)
+    return sock
