--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,9 +5,12 @@
 import soak
 
 SECONDS = 4.0
+# Seed 3: housekeeping ended with an error once a second. Seeds 12, 15, 20 and
+# 30: SIGHUP or SIGTERM ended a gateway that was still being loaded.
+FAILED_SEEDS = (3, 12, 15, 20, 30)
 
 
-@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("seed", [1, *FAILED_SEEDS])
 def test_promises_hold_under_faults(tmp_path, seed):
     """Guards against second runs, false refusals and mixed answers."""
     counts = soak.run_seed(tmp_path, seed, SECONDS)
