--- /dev/null
+++ b/libs/http/tests/test_own_responses.py
@@ -0,0 +1,176 @@
+"""Tests of responses that are told apart, and of slow callers."""
+
+import time
+
+import curio
+import pytest
+
+import banyandale_http as http
+
+OWN = b"HTTP/1.1 200 OK\r\nid: a\r\ncontent-length: 2\r\n\r\nok"
+STRAY = b"HTTP/1.1 200 OK\r\nid: z\r\ncontent-length: 5\r\n\r\nstray"
+
+
+async def start_server(reply, *, read_bytes=1):
+    """Sends a raw reply once it has read some bytes, then closes."""
+    listener = http.open_listener("127.0.0.1:0")
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+
+    async def serve():
+        sock, _ = await listener.accept()
+        received = 0
+        while received < read_bytes:
+            received += len(await sock.recv(1024))
+        await sock.sendall(reply)
+        await curio.sleep(0.05)
+        await sock.close()
+        await listener.close()
+
+    await curio.spawn(serve, daemon=True)
+    return address
+
+
+def exchange(reply, *, body=b"", **options):
+    async def main():
+        address = await start_server(reply, **options)
+        deadline = time.monotonic() + 2
+        connection = await http.ClientConnection.open(
+            address=address, deadline=deadline
+        )
+        try:
+            response = await connection.exchange_own(
+                http.Request(method=b"POST", target=b"/", body=body),
+                is_own=lambda head: head.header(b"id") == b"a",
+                limit=1 << 20,
+                deadline=deadline,
+            )
+            return response, connection.is_reusable
+        finally:
+            await connection.close()
+
+    return curio.run(main)
+
+
+def test_a_second_answer_to_an_earlier_request_is_skipped():
+    """Guards against an answer that belongs to another request."""
+    response, _ = exchange(STRAY + OWN)
+    assert response.body == b"ok"
+
+
+def test_bytes_behind_the_answer_end_the_connection():
+    """Guards against stray bytes that answer the next request."""
+    response, reusable = exchange(OWN + STRAY)
+    assert (response.body, reusable) == (b"ok", False)
+
+
+def test_only_stray_answers_are_an_error():
+    """Guards against a caller that gets another one's answer in the end."""
+    with pytest.raises(http.HttpError):
+        exchange(STRAY * 9)
+    with pytest.raises(http.HttpError):
+        exchange(STRAY)
+
+
+def test_an_answer_without_length_ends_with_its_connection():
+    """Guards against answers that are refused for want of a length."""
+    reply = b"HTTP/1.1 200 OK\r\nid: a\r\n\r\n"
+    response, reusable = exchange(reply + b"until the end")
+    assert (response.body, reusable) == (b"until the end", False)
+
+
+def test_a_cut_answer_is_an_error():
+    """Guards against half an answer that looks complete."""
+    with pytest.raises(http.TruncatedResponseError):
+        exchange(OWN[:-1])
+    with pytest.raises(http.HttpError):
+        exchange(b"no answer at all\r\n\r\n")
+
+
+def test_an_early_answer_to_a_long_body_ends_the_connection():
+    """Guards against other bytes where the rest of a body is due."""
+    response, reusable = exchange(OWN, body=b"x" * (32 << 20))
+    assert (response.body, reusable) == (b"ok", False)
+
+
+def serve_caller(use):
+    """Runs `use(connection, caller_socket)` on the server's side."""
+
+    async def main():
+        listener = http.open_listener("127.0.0.1:0")
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        caller = await http.open_socket(
+            address=address, source=None, deadline=time.monotonic() + 2
+        )
+        sock, _ = await listener.accept()
+        connection = http.ServerConnection(sock=sock, max_head_bytes=2048)
+        try:
+            await use(connection, caller)
+        finally:
+            await caller.close()
+            await connection.close()
+            await listener.close()
+
+    curio.run(main)
+
+
+def read(connection, **options):
+    return connection.read_request(
+        limit=100,
+        idle_deadline=time.monotonic() + 2,
+        head_seconds=options.get("head_seconds", 0.2),
+    )
+
+
+def test_a_head_that_comes_too_slowly_is_a_timeout():
+    """Guards against connections that are held by half a request."""
+
+    async def use(connection, caller):
+        await caller.sendall(b"GET / HTTP/1.1\r\nhost: h")
+        with pytest.raises(http.RequestTimeoutError) as caught:
+            await read(connection)
+        assert caught.value.status == 408
+
+    serve_caller(use)
+
+
+def test_chunked_bodies_and_kept_connections_are_read():
+    """Guards against a second request that is lost behind the first."""
+
+    async def use(connection, caller):
+        await caller.sendall(
+            b"POST /a HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
+            b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\nGET /b HTTP/1.1\r\nhost: h\r\n\r\n"
+        )
+        first = await read(connection)
+        assert (first.target, first.body) == (b"/a", b"abc")
+        await connection.send_response(http.Response(status=200))
+        second = await read(connection)
+        assert second.target == b"/b"
+
+    serve_caller(use)
+
+
+def test_a_head_over_the_limit_is_431():
+    """Guards against headers that take the process's memory."""
+
+    async def use(connection, caller):
+        await caller.sendall(b"GET / HTTP/1.1\r\nhost: h\r\na: " + b"x" * 9000)
+        with pytest.raises(http.MalformedRequestError) as caught:
+            await read(connection)
+        assert caught.value.status == 431
+
+    serve_caller(use)
+
+
+def test_a_caller_that_leaves_is_noticed():
+    """Guards against work for callers that are gone."""
+
+    async def use(connection, caller):
+        task = await curio.spawn(connection.wait_caller_left)
+        await curio.sleep(0.02)
+        assert not task.terminated
+        await caller.close()
+        async with curio.timeout_after(2):
+            await task.join()
+
+    serve_caller(use)
