standins: a start waits until the backend servers answer

System.start waits for platform, configuration and homes, not for the servers' processes.

Change: the start also waits until each zone's servers answer, with a test that fails without it.

--- a/libs/standins/src/banyandale_standins/_system.py
+++ b/libs/standins/src/banyandale_standins/_system.py
@@ -106,6 +106,7 @@
             )
             self._start_standin("relay", f"relay-{zone}", settings)
         await self._wait_for("platform", self._list_vms)
+        await self._wait_for("backend servers", self._servers_answer)
         for gateway in self.gateways:
             self.start_gateway(gateway)
         self._publisher = config.Publisher(
@@ -182,6 +183,12 @@
         await admin.call(address, "PUT", "/v1/vms", {"vms": vms})
         return True
 
+    async def _servers_answer(self) -> bool:
+        """Reads the counters of all backend servers."""
+        for zone in self.deployment.zones:
+            await self.read_servers(zone)
+        return True
+
     async def apply_zones(self, *, out: Sequence[str]) -> int:
         """Publishes the document with some zones out of service."""
         return await self.apply_document(
--- a/libs/standins/tests/test_main.py
+++ b/libs/standins/tests/test_main.py
@@ -70,6 +70,34 @@
     curio.run(main)
 
 
+def test_a_start_waits_until_the_backend_servers_answer(tmp_path):
+    """Guards against scenarios that begin before their servers listen.
+
+    Beside two busy runs a server's first change was refused a connection.
+    """
+
+    async def main():
+        running = system.System(
+            deployment=deployments.OVERHEAD,
+            gateways=1,
+            variant=system.Variant(),
+            folder=tmp_path,
+        )
+        asked = []
+
+        async def read_servers(zone):
+            asked.append(zone)
+            if len(asked) == 1:
+                raise http.ConnectError("not listening yet")
+            return []
+
+        running.read_servers = read_servers
+        await running._wait_for("backend servers", running._servers_answer)
+        assert len(asked) == 1 + len(running.deployment.zones)
+
+    curio.run(main)
+
+
 def make_phase(p99):
     summary = {
         "sent": 100,
