direct: one copy of the hash order, of rejected entries and of a constant

Cause: the read of the whole change found the same hash in _placement and _cold_limits, the same report of an unreadable entry in _knowledge and _registration, MILLISECONDS_PER_SECOND three times beside that of banyandale_core, a copy of the zones out of service that the registry holds already, and a reason of refusal that nothing uses.

Change: one function each; behaviour is the same.

--- a/libs/direct/src/banyandale_direct/_admission.py
+++ b/libs/direct/src/banyandale_direct/_admission.py
@@ -5,9 +5,8 @@
 A call that cannot be finished in time is rejected before it takes a place,
 so that the places go to calls that can. A call that would only be late waits
 in the gateway, not at a server, for a server that can still meet its target.
-The time to come back is when the
-work that is already waiting is done, spread at random so that those who were
-turned away together do not return together.
+The time to come back is when the work that is already waiting is done, spread
+at random so that those who were turned away together do not return together.
 """
 
 import dataclasses
@@ -49,7 +48,6 @@
     COLD_LIMIT = "cold_limit"
     DEADLINE_TOO_CLOSE = "deadline_too_close"
     STOPPING = "stopping"
-    RETRY_BUDGET = "retry_budget"
     TIMED_OUT = "timed_out"
     OUTCOME_UNKNOWN = "outcome_unknown"
     MALFORMED = "malformed_request"
--- a/libs/direct/src/banyandale_direct/_calls.py
+++ b/libs/direct/src/banyandale_direct/_calls.py
@@ -14,7 +14,6 @@
 from banyandale_direct import _stops as stops
 import banyandale_http as http
 
-MILLISECONDS_PER_SECOND = 1000
 BAD_REQUEST_STATUS = 400
 NO_ROUTE_STATUS = 404
 # When a caller of a gateway that has no configuration yet should come back:
@@ -211,7 +210,9 @@
             metrics.incr(f"refused:{outcome}")
         else:
             metrics.incr(f"answered:{final.status}")
-        metrics.timing(f"call:{outcome}", seconds * MILLISECONDS_PER_SECOND)
+        metrics.timing(
+            f"call:{outcome}", seconds * core.MILLISECONDS_PER_SECOND
+        )
         current = self.configuration
         self._shared.events.write(
             "refused" if final.refusal else "answered",
--- a/libs/direct/src/banyandale_direct/_cold_limits.py
+++ b/libs/direct/src/banyandale_direct/_cold_limits.py
@@ -9,9 +9,10 @@
 """
 
 from collections.abc import Iterable
-import hashlib
 import math
 
+from banyandale_direct import _rendezvous as rendezvous
+
 # Sum of calls of all gateways in any second, relative to the server's limit.
 # The users allow 1.5 times the limit plus 5 to 8 calls; the margin is for
 # gateways that see different sets of live gateways.
@@ -21,11 +22,6 @@
 INTERVAL_SECONDS = 1.1
 
 
-def _weight(gateway: str, server_id: str) -> bytes:
-    text = f"{gateway}\n{server_id}".encode()
-    return hashlib.blake2b(text, digest_size=8).digest()
-
-
 def is_sender(
     *,
     gateway: str,
@@ -42,11 +38,11 @@
         calls_per_second: Its limit over all gateways.
     """
     count = max(math.floor(calls_per_second * SENDERS_PER_CALL), 1)
-    own = _weight(gateway, server_id)
+    own = rendezvous.weigh(gateway, server_id)
     ahead = sum(
         1
         for other in gateways
-        if other != gateway and _weight(other, server_id) > own
+        if other != gateway and rendezvous.weigh(other, server_id) > own
     )
     return ahead < count
 
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -26,7 +26,6 @@
 from banyandale_direct import _settings as settings
 import banyandale_http as http
 
-MILLISECONDS_PER_SECOND = 1000
 # Largest answer that is read from a server.
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 # Attempts of a call beside its sends: the chosen server left, or refused the
@@ -458,7 +457,7 @@
                 answer_bytes=len(attempt.response.body),
             )
             shared.metrics.timing(
-                "server_answer", seconds * MILLISECONDS_PER_SECOND
+                "server_answer", seconds * core.MILLISECONDS_PER_SECOND
             )
             return
         outcome = kind.value if kind else attempt.error
--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -28,7 +28,6 @@
 from banyandale_direct import _stops as stops
 import banyandale_http as http
 
-MILLISECONDS_PER_SECOND = 1000
 NOT_FOUND_STATUS = 404
 NOT_READY_STATUS = 503
 # How often settings are compared with the file and servers that left are
@@ -71,7 +70,7 @@
             own=members.Member(
                 ip=http.parse_address(loaded.peer_address)[0],
                 zone=loaded.zone,
-                started_unix_ms=int(time.time() * MILLISECONDS_PER_SECOND),
+                started_unix_ms=int(time.time() * core.MILLISECONDS_PER_SECOND),
                 beat=0,
                 ready=False,
             ),
--- a/libs/direct/src/banyandale_direct/_knowledge.py
+++ b/libs/direct/src/banyandale_direct/_knowledge.py
@@ -11,6 +11,23 @@
 import banyandale_platform as platform
 
 
+def report_rejected(
+    stored: platform.StoredObject,
+    error: Exception,
+    events: core.EventLog,
+    metrics: core.Metrics,
+) -> None:
+    """Logs and counts an object that cannot be read."""
+    metrics.incr(f"entry_rejected:{stored.kind}")
+    events.write(
+        "entry_rejected",
+        kind=stored.kind,
+        name=stored.name,
+        version=stored.version,
+        error=str(error),
+    )
+
+
 class Knowledge:
     """Reads objects of the store; unreadable ones never replace good ones."""
 
@@ -41,7 +58,6 @@
         self._events = events
         self._metrics = metrics
         self._version: int | None = None
-        self._zones_out: set[str] = set()
 
     def kinds(self) -> tuple[str, ...]:
         """Returns the kinds to follow, the most urgent first."""
@@ -64,8 +80,7 @@
         elif kind == self._documents.server_kind:
             self._replace_servers(objects, version)
         else:
-            self._zones_out = {stored.name for stored in objects}
-            self._use_zones(version)
+            self._use_zones({stored.name for stored in objects}, version)
 
     def take_change(self, change: platform.Change) -> None:
         """Takes over one change."""
@@ -82,7 +97,7 @@
         try:
             read = self._documents.read_configuration(stored)
         except protocols.MalformedEntryError as error:
-            self._reject(stored, error)
+            report_rejected(stored, error, self._events, self._metrics)
             return
         if read is None:
             return
@@ -99,16 +114,6 @@
         self._metrics.gauge("configuration_version", read.version)
         self._on_configuration(read)
 
-    def _reject(self, stored: platform.StoredObject, error: Exception) -> None:
-        self._metrics.incr(f"entry_rejected:{stored.kind}")
-        self._events.write(
-            "entry_rejected",
-            kind=stored.kind,
-            name=stored.name,
-            version=stored.version,
-            error=str(error),
-        )
-
     def _read_server(
         self, stored: platform.StoredObject
     ) -> registry.Server | None:
@@ -117,7 +122,7 @@
                 stored, zones=self._settings.regions
             )
         except protocols.MalformedEntryError as error:
-            self._reject(stored, error)
+            report_rejected(stored, error, self._events, self._metrics)
             return None
 
     def _replace_servers(
@@ -158,16 +163,17 @@
             )
 
     def _change_zone(self, change: platform.Change) -> None:
+        zones = set(self._servers.zones_out)
         if change.type is platform.ChangeType.PUT:
-            self._zones_out.add(change.object.name)
+            zones.add(change.object.name)
         else:
-            self._zones_out.discard(change.object.name)
-        self._use_zones(change.object.version)
+            zones.discard(change.object.name)
+        self._use_zones(zones, change.object.version)
 
-    def _use_zones(self, version: int) -> None:
-        if self._zones_out == self._servers.zones_out:
+    def _use_zones(self, zones: set[str], version: int) -> None:
+        if zones == self._servers.zones_out:
             return
-        self._servers.set_zones_out(self._zones_out)
+        self._servers.set_zones_out(zones)
         self._events.write_state(
-            "zones_out", zones=sorted(self._zones_out), store_version=version
+            "zones_out", zones=sorted(zones), store_version=version
         )
--- a/libs/direct/src/banyandale_direct/_placement.py
+++ b/libs/direct/src/banyandale_direct/_placement.py
@@ -11,11 +11,11 @@
 
 from collections.abc import Sequence
 import dataclasses
-import hashlib
 import random
 
 from banyandale_direct import _beliefs as beliefs
 from banyandale_direct import _registry as registry
+from banyandale_direct import _rendezvous as rendezvous
 
 # Servers asked per zone and call. More find few better servers and cost
 # processor time (0.6 ms a report).
@@ -225,7 +225,9 @@
     remote = [e for e in sound if e.server.zone != zone]
     for few in (local, remote):
         if len(few) > SUBSET_SIZE:
-            few.sort(key=lambda entry: _place(gateway, entry.server.id))
+            few.sort(
+                key=lambda entry: rendezvous.weigh(gateway, entry.server.id)
+            )
     groups = [
         Group(entries=tuple(local[:SUBSET_SIZE]), local=True),
         Group(entries=tuple(local[SUBSET_SIZE:]), local=True),
@@ -243,8 +245,3 @@
 ) -> list[registry.Entry]:
     """Draws the servers of a group that are asked."""
     return random_source.sample(group.entries, min(count, len(group.entries)))
-
-
-def _place(gateway: str, server_id: str) -> bytes:
-    text = f"{gateway}\n{server_id}".encode()
-    return hashlib.blake2b(text, digest_size=8).digest()
--- a/libs/direct/src/banyandale_direct/_registration.py
+++ b/libs/direct/src/banyandale_direct/_registration.py
@@ -11,6 +11,7 @@
 import curio
 
 import banyandale_core as core
+from banyandale_direct import _knowledge as knowledge
 from banyandale_direct import _members as members
 from banyandale_direct import _protocols as protocols
 import banyandale_platform as platform
@@ -84,13 +85,8 @@
             try:
                 others.append(self._documents.read_member(stored))
             except protocols.MalformedEntryError as error:
-                self._metrics.incr(f"entry_rejected:{stored.kind}")
-                self._events.write(
-                    "entry_rejected",
-                    kind=stored.kind,
-                    name=stored.name,
-                    version=stored.version,
-                    error=str(error),
+                knowledge.report_rejected(
+                    stored, error, self._events, self._metrics
                 )
         self._table.introduce(others, now=time.monotonic())
         self._events.write_state(
