direct: give the choice of a server a module of its own

The choice handed its results over in fields of the attempt, which outlived a look: when the last server of a service vanished while a call waited, the permission to wait of the look before stayed, and the call went on waiting for its deadline.

A call without any server left is rejected at once; all other decisions are the same.

--- a/libs/direct/src/banyandale_direct/_calls.py
+++ b/libs/direct/src/banyandale_direct/_calls.py
@@ -8,6 +8,7 @@
 import banyandale_core as core
 from banyandale_direct import _admission as admission
 from banyandale_direct import _configuration as configuration
+from banyandale_direct import _context as context
 from banyandale_direct import _forwarding as forwarding
 from banyandale_direct import _protocols as protocols
 from banyandale_direct import _shares as shares
@@ -36,7 +37,7 @@
     def __init__(
         self,
         *,
-        shared: forwarding.Shared,
+        shared: context.Shared,
         dialect: protocols.CallerDialect,
     ) -> None:
         self._shared = shared
--- /dev/null
+++ b/libs/direct/src/banyandale_direct/_context.py
@@ -0,0 +1,48 @@
+"""What all calls of a gateway share."""
+
+import dataclasses
+import random
+
+import banyandale_core as core
+from banyandale_direct import _beliefs as beliefs
+from banyandale_direct import _budgets as budgets
+from banyandale_direct import _channels as channels
+from banyandale_direct import _cold_limits as cold_limits
+from banyandale_direct import _demands as demands
+from banyandale_direct import _members as members
+from banyandale_direct import _protocols as protocols
+from banyandale_direct import _registry as registry
+from banyandale_direct import _settings as settings
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Shared:
+    """What all calls of a gateway share."""
+
+    registry: registry.Registry
+    beliefs: beliefs.Beliefs
+    demands: demands.DemandTracker
+    patience: demands.PatienceTracker
+    cold: cold_limits.ColdLimiter
+    channels: channels.Channels
+    members: members.MemberTable
+    settings: settings.Settings
+    dialect: protocols.ServerDialect
+    metrics: core.Metrics
+    events: core.EventLog
+    random: random.Random
+    repeat_budgets: dict[str, budgets.RepeatBudget] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def budget(self, service: str) -> budgets.RepeatBudget:
+        """Returns the repeat budget of a service."""
+        found = self.repeat_budgets.get(service)
+        if found is None:
+            found = budgets.RepeatBudget(
+                ratio=self.settings.repeat_ratio,
+                slack=self.settings.repeat_slack,
+                window_seconds=self.settings.repeat_window_seconds,
+            )
+            self.repeat_budgets[service] = found
+        return found
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -1,12 +1,11 @@
 """Carries one call through its attempts to its final answer.
 
-The decisions are in `_placement`, `_admission`, `_budgets`, `_cold_limits`
-and `_beliefs`; this module connects them with sockets and time.
+`_selection` chooses the servers; whether a call is repeated is decided by
+`_admission`, `_budgets` and `_hedging`.
 """
 
 import dataclasses
 import enum
-import random
 import time
 
 import curio
@@ -14,17 +13,13 @@
 import banyandale_core as core
 from banyandale_direct import _admission as admission
 from banyandale_direct import _beliefs as beliefs
-from banyandale_direct import _budgets as budgets
 from banyandale_direct import _channels as channels
-from banyandale_direct import _cold_limits as cold_limits
 from banyandale_direct import _configuration as configuration
-from banyandale_direct import _demands as demands
+from banyandale_direct import _context as context
 from banyandale_direct import _hedging as hedging
-from banyandale_direct import _members as members
 from banyandale_direct import _placement as placement
 from banyandale_direct import _protocols as protocols
-from banyandale_direct import _registry as registry
-from banyandale_direct import _settings as settings
+from banyandale_direct import _selection as selection
 import banyandale_http as http
 
 # Largest answer that is read from a server.
@@ -94,7 +89,6 @@
         response: The complete response, if any.
         refusal: Why nothing was sent, else None.
         wait_seconds: Time until room is likely, with a refusal.
-        may_wait: Whether looking again soon may find room.
         error: Code of the failure, else None.
         report: Load report by which the server was chosen, if any.
         run: Whether the server may have run the call.
@@ -107,52 +101,18 @@
     response: http.Response | None = None
     refusal: admission.Refusal | None = None
     wait_seconds: float = 0.0
-    may_wait: bool = False
     error: str | None = None
     report: placement.LoadReport | None = None
     run: core.RunMark = core.RunMark.NOT_RUN
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Shared:
-    """What all calls of a gateway share."""
-
-    registry: registry.Registry
-    beliefs: beliefs.Beliefs
-    demands: demands.DemandTracker
-    patience: demands.PatienceTracker
-    cold: cold_limits.ColdLimiter
-    channels: channels.Channels
-    members: members.MemberTable
-    settings: settings.Settings
-    dialect: protocols.ServerDialect
-    metrics: core.Metrics
-    events: core.EventLog
-    random: random.Random
-    repeat_budgets: dict[str, budgets.RepeatBudget] = dataclasses.field(
-        default_factory=dict
-    )
-
-    def budget(self, service: str) -> budgets.RepeatBudget:
-        """Returns the repeat budget of a service."""
-        found = self.repeat_budgets.get(service)
-        if found is None:
-            found = budgets.RepeatBudget(
-                ratio=self.settings.repeat_ratio,
-                slack=self.settings.repeat_slack,
-                window_seconds=self.settings.repeat_window_seconds,
-            )
-            self.repeat_budgets[service] = found
-        return found
-
-
 class Exchange:
     """One call on its way."""
 
     def __init__(
         self,
         *,
-        shared: Shared,
+        shared: context.Shared,
         call: protocols.Call,
         route: configuration.Route,
         service: configuration.Service,
@@ -182,7 +142,13 @@
         if call.remaining_seconds is not None:
             caller_deadline = started_at + call.remaining_seconds
             self._answer_by = min(self._answer_by, caller_deadline)
-        self._target_at = started_at + route.target_seconds - age_seconds
+        self._selection = selection.Selection(
+            shared=shared,
+            route=route,
+            service=service,
+            target_at=started_at + route.target_seconds - age_seconds,
+            answer_by=self._answer_by,
+        )
         self._events: curio.Queue = curio.Queue()
         self._tried: set[str] = set()
         self._attempts: list[_Attempt] = []
@@ -373,7 +339,12 @@
         )
 
     async def _attempt(self, attempt: _Attempt) -> None:
-        probe = await self._place(attempt)
+        choice = await self._selection.choose(
+            tried=frozenset(self._tried), first=len(self._attempts) == 1
+        )
+        attempt.refusal = choice.refusal
+        attempt.wait_seconds = choice.wait_seconds
+        probe = choice.probe
         if probe is None:
             return
         server = probe.candidate.entry.server
@@ -530,194 +501,3 @@
             remaining=round(self._answer_by - now, 3),
             **fields,
         )
-
-    async def _place(self, attempt: _Attempt) -> channels.Probe | None:
-        """Chooses a server; fills in the refusal when there is none."""
-        while True:
-            probe = await self._look(attempt)
-            if probe is not None or not attempt.may_wait:
-                return probe
-            # The caller's leaving and the deadline cancel this task.
-            await curio.sleep(admission.HOLD_STEP_SECONDS)
-
-    async def _look(self, attempt: _Attempt) -> channels.Probe | None:
-        shared = self._shared
-        now = time.monotonic()
-        entries = [
-            entry
-            for entry in shared.registry.find(self._service.name, now=now)
-            if entry.server.id not in self._tried
-            and self._region_allowed(entry.server.zone)
-        ]
-        if not entries:
-            attempt.refusal = admission.Refusal.NO_SERVER
-            attempt.wait_seconds = admission.LONGEST_RETURN_SECONDS / 2
-            return None
-        demand = shared.demands.find(self._route.name)
-        zone = shared.settings.zone
-        groups = placement.list_groups(
-            entries,
-            shared.beliefs,
-            gateway=shared.members.own.ip,
-            zone=zone,
-            now=now,
-        )
-        probing = channels.ProbeRound(
-            channels=shared.channels,
-            service=self._service,
-            known=shared.beliefs,
-            zone=zone,
-        )
-        probes: list[channels.Probe] = []
-        chosen = None
-        try:
-            for group in groups:
-                best = self._best(probes, demand)
-                if probes and not placement.should_widen(
-                    best.candidate if best else None,
-                    demand,
-                    crossing=not group.local,
-                ):
-                    break
-                drawn = placement.draw_servers(
-                    group, random_source=shared.random
-                )
-                probes += await probing.ask(drawn)
-            chosen = self._admit(attempt, probes, demand)
-            return chosen
-        finally:
-            await probing.close()
-            for probe in probes:
-                if probe is not chosen:
-                    await shared.channels.release(probe)
-
-    def _region_allowed(self, zone: str) -> bool:
-        regions = self._route.regions
-        return not regions or self._shared.settings.regions.get(zone) in regions
-
-    def _best(
-        self, probes: list[channels.Probe], demand: placement.Demand
-    ) -> channels.Probe | None:
-        candidate = placement.choose(
-            [probe.candidate for probe in probes], demand, self._shared.random
-        )
-        for probe in probes:
-            if probe.candidate is candidate:
-                return probe
-        return None
-
-    def _admit(
-        self,
-        attempt: _Attempt,
-        probes: list[channels.Probe],
-        demand: placement.Demand,
-    ) -> channels.Probe | None:
-        """Takes the best server that may get the call now."""
-        left = list(probes)
-        attempt.refusal = admission.Refusal.NO_SERVER
-        attempt.wait_seconds = demand.work_seconds
-        attempt.may_wait = False
-        while left:
-            best = self._best(left, demand)
-            left.remove(best)
-            refusal, wait = self._check(best.candidate, demand)
-            if refusal is not None:
-                attempt.refusal = refusal
-                attempt.wait_seconds = wait
-                attempt.may_wait = self._may_wait(refusal, demand)
-                continue
-            verdict = self._decide(best.candidate, demand)
-            if verdict is admission.Verdict.SEND:
-                cold_refusal, wait = self._check_cold(best.candidate)
-                if cold_refusal is None:
-                    attempt.refusal = None
-                    return best
-                attempt.refusal = cold_refusal
-                attempt.wait_seconds = wait
-                continue
-            # The others are no better.
-            attempt.refusal = admission.Refusal.NO_ROOM
-            attempt.may_wait = (
-                verdict is admission.Verdict.WAIT and len(self._attempts) == 1
-            )
-            return None
-        return None
-
-    def _may_wait(
-        self, refusal: admission.Refusal, demand: placement.Demand
-    ) -> bool:
-        return (
-            refusal is not admission.Refusal.NO_SERVER
-            and len(self._attempts) == 1
-            and time.monotonic() + admission.HOLD_STEP_SECONDS
-            <= self._prospect(demand).last_chance_at
-        )
-
-    def _prospect(self, demand: placement.Demand) -> admission.Prospect:
-        return admission.Prospect(
-            target_at=self._target_at,
-            answer_by=self._answer_by,
-            work_seconds=demand.work_seconds,
-        )
-
-    def _decide(
-        self, candidate: placement.Candidate, demand: placement.Demand
-    ) -> admission.Verdict:
-        if candidate.report is None:
-            return admission.Verdict.SEND
-        return admission.decide(
-            candidate.report,
-            self._prospect(demand),
-            now=time.monotonic(),
-            crossing_seconds=0.0
-            if candidate.local
-            else demand.crossing_seconds,
-        )
-
-    def _check(
-        self, candidate: placement.Candidate, demand: placement.Demand
-    ) -> tuple[admission.Refusal | None, float]:
-        """Returns why a server may not get the call, and for how long."""
-        if candidate.report is None:
-            belief = self._shared.beliefs.find(
-                candidate.entry.server.id,
-                started_unix_ms=candidate.entry.server.started_unix_ms,
-            )
-            if belief.failures >= beliefs.UNREACHABLE_FAILURES:
-                return admission.Refusal.NO_SERVER, demand.work_seconds
-            return None, 0.0
-        return admission.check_report(
-            candidate.report,
-            server_id=candidate.entry.server.id,
-            work_seconds=demand.work_seconds,
-            now=time.monotonic(),
-            deadline=self._answer_by,
-        )
-
-    def _check_cold(
-        self, candidate: placement.Candidate
-    ) -> tuple[admission.Refusal | None, float]:
-        """Takes a cold server's call, if this gateway has one."""
-        now = time.monotonic()
-        server_id = candidate.entry.server.id
-        if candidate.report is not None:
-            cold = candidate.report.cold_seconds > 0
-        else:
-            cold = candidate.entry.cold_until > now
-        if not cold:
-            return None, 0.0
-        shared = self._shared
-        if not cold_limits.is_sender(
-            gateway=shared.members.own.ip,
-            gateways=[m.ip for m in shared.members.live(now=now)],
-            server_id=server_id,
-            calls_per_second=self._service.cold_calls_per_second,
-        ):
-            return (
-                admission.Refusal.COLD_LIMIT,
-                cold_limits.INTERVAL_SECONDS,
-            )
-        if not shared.cold.try_send(server_id, now=now):
-            wait = shared.cold.next_at(server_id) - now
-            return admission.Refusal.COLD_LIMIT, wait
-        return None, 0.0
--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -14,10 +14,10 @@
 from banyandale_direct import _channels as channels
 from banyandale_direct import _cold_limits as cold_limits
 from banyandale_direct import _configuration as configuration
+from banyandale_direct import _context as context
 from banyandale_direct import _demands as demands
 from banyandale_direct import _endpoints as endpoints
 from banyandale_direct import _following as following
-from banyandale_direct import _forwarding as forwarding
 from banyandale_direct import _gossip as gossip
 from banyandale_direct import _knowledge as knowledge
 from banyandale_direct import _lookups as lookups
@@ -77,7 +77,7 @@
             random_source=self._random,
         )
         self._registry = registry.Registry()
-        self._shared = forwarding.Shared(
+        self._shared = context.Shared(
             registry=self._registry,
             beliefs=beliefs.Beliefs(),
             demands=demands.DemandTracker(),
--- /dev/null
+++ b/libs/direct/src/banyandale_direct/_selection.py
@@ -0,0 +1,257 @@
+"""Chooses the server of a call by fresh load reports.
+
+The decisions are in `_placement`, `_admission`, `_cold_limits` and
+`_beliefs`; this module asks the servers and waits between two looks.
+"""
+
+import dataclasses
+import time
+
+import curio
+
+from banyandale_direct import _admission as admission
+from banyandale_direct import _beliefs as beliefs
+from banyandale_direct import _channels as channels
+from banyandale_direct import _cold_limits as cold_limits
+from banyandale_direct import _configuration as configuration
+from banyandale_direct import _context as context
+from banyandale_direct import _placement as placement
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Choice:
+    """A server for a call, or why there is none.
+
+    Attributes:
+        probe: The server with its report, or None.
+        refusal: Why there is none, else None.
+        wait_seconds: Time until room is likely, with a refusal.
+        may_wait: Whether looking again soon may find room.
+    """
+
+    probe: channels.Probe | None = None
+    refusal: admission.Refusal | None = None
+    wait_seconds: float = 0.0
+    may_wait: bool = False
+
+
+class Selection:
+    """Chooses servers for one call."""
+
+    def __init__(
+        self,
+        *,
+        shared: context.Shared,
+        route: configuration.Route,
+        service: configuration.Service,
+        target_at: float,
+        answer_by: float,
+    ) -> None:
+        """Creates a selection.
+
+        Args:
+            shared: What all calls share.
+            route: The call's route.
+            service: The service that was drawn for it.
+            target_at: When an answer loses most of its value, in monotonic
+                seconds.
+            answer_by: When the caller has to have an answer.
+        """
+        self._shared = shared
+        self._route = route
+        self._service = service
+        self._target_at = target_at
+        self._answer_by = answer_by
+
+    async def choose(self, *, tried: frozenset[str], first: bool) -> Choice:
+        """Chooses a server, and waits for a better one where that pays.
+
+        Args:
+            tried: Servers that had the call already.
+            first: Whether this is the call's first attempt; only that waits.
+        """
+        while True:
+            choice = await self._look(tried)
+            if choice.probe is not None or not (first and choice.may_wait):
+                return choice
+            # The caller's leaving and the deadline cancel this task.
+            await curio.sleep(admission.HOLD_STEP_SECONDS)
+
+    async def _look(self, tried: frozenset[str]) -> Choice:
+        shared = self._shared
+        now = time.monotonic()
+        entries = [
+            entry
+            for entry in shared.registry.find(self._service.name, now=now)
+            if entry.server.id not in tried
+            and self._region_allowed(entry.server.zone)
+        ]
+        if not entries:
+            return Choice(
+                refusal=admission.Refusal.NO_SERVER,
+                wait_seconds=admission.LONGEST_RETURN_SECONDS / 2,
+            )
+        demand = shared.demands.find(self._route.name)
+        zone = shared.settings.zone
+        groups = placement.list_groups(
+            entries,
+            shared.beliefs,
+            gateway=shared.members.own.ip,
+            zone=zone,
+            now=now,
+        )
+        probing = channels.ProbeRound(
+            channels=shared.channels,
+            service=self._service,
+            known=shared.beliefs,
+            zone=zone,
+        )
+        probes: list[channels.Probe] = []
+        choice = Choice()
+        try:
+            for group in groups:
+                best = self._best(probes, demand)
+                if probes and not placement.should_widen(
+                    best.candidate if best else None,
+                    demand,
+                    crossing=not group.local,
+                ):
+                    break
+                drawn = placement.draw_servers(
+                    group, random_source=shared.random
+                )
+                probes += await probing.ask(drawn)
+            choice = self._admit(probes, demand)
+            return choice
+        finally:
+            await probing.close()
+            for probe in probes:
+                if probe is not choice.probe:
+                    await shared.channels.release(probe)
+
+    def _region_allowed(self, zone: str) -> bool:
+        regions = self._route.regions
+        return not regions or self._shared.settings.regions.get(zone) in regions
+
+    def _best(
+        self, probes: list[channels.Probe], demand: placement.Demand
+    ) -> channels.Probe | None:
+        candidate = placement.choose(
+            [probe.candidate for probe in probes], demand, self._shared.random
+        )
+        for probe in probes:
+            if probe.candidate is candidate:
+                return probe
+        return None
+
+    def _admit(
+        self, probes: list[channels.Probe], demand: placement.Demand
+    ) -> Choice:
+        """Takes the best server that may get the call now."""
+        left = list(probes)
+        last = Choice(
+            refusal=admission.Refusal.NO_SERVER,
+            wait_seconds=demand.work_seconds,
+        )
+        while left:
+            best = self._best(left, demand)
+            left.remove(best)
+            refusal, wait = self._check(best.candidate, demand)
+            if refusal is not None:
+                last = Choice(
+                    refusal=refusal,
+                    wait_seconds=wait,
+                    may_wait=self._may_wait(refusal, demand),
+                )
+                continue
+            verdict = self._decide(best.candidate, demand)
+            if verdict is not admission.Verdict.SEND:
+                # The others are no better.
+                return dataclasses.replace(
+                    last,
+                    refusal=admission.Refusal.NO_ROOM,
+                    may_wait=verdict is admission.Verdict.WAIT,
+                )
+            refusal, wait = self._check_cold(best.candidate)
+            if refusal is None:
+                return Choice(probe=best)
+            last = dataclasses.replace(last, refusal=refusal, wait_seconds=wait)
+        return last
+
+    def _may_wait(
+        self, refusal: admission.Refusal, demand: placement.Demand
+    ) -> bool:
+        return (
+            refusal is not admission.Refusal.NO_SERVER
+            and time.monotonic() + admission.HOLD_STEP_SECONDS
+            <= self._prospect(demand).last_chance_at
+        )
+
+    def _prospect(self, demand: placement.Demand) -> admission.Prospect:
+        return admission.Prospect(
+            target_at=self._target_at,
+            answer_by=self._answer_by,
+            work_seconds=demand.work_seconds,
+        )
+
+    def _decide(
+        self, candidate: placement.Candidate, demand: placement.Demand
+    ) -> admission.Verdict:
+        if candidate.report is None:
+            return admission.Verdict.SEND
+        return admission.decide(
+            candidate.report,
+            self._prospect(demand),
+            now=time.monotonic(),
+            crossing_seconds=0.0
+            if candidate.local
+            else demand.crossing_seconds,
+        )
+
+    def _check(
+        self, candidate: placement.Candidate, demand: placement.Demand
+    ) -> tuple[admission.Refusal | None, float]:
+        """Returns why a server may not get the call, and for how long."""
+        if candidate.report is None:
+            belief = self._shared.beliefs.find(
+                candidate.entry.server.id,
+                started_unix_ms=candidate.entry.server.started_unix_ms,
+            )
+            if belief.failures >= beliefs.UNREACHABLE_FAILURES:
+                return admission.Refusal.NO_SERVER, demand.work_seconds
+            return None, 0.0
+        return admission.check_report(
+            candidate.report,
+            server_id=candidate.entry.server.id,
+            work_seconds=demand.work_seconds,
+            now=time.monotonic(),
+            deadline=self._answer_by,
+        )
+
+    def _check_cold(
+        self, candidate: placement.Candidate
+    ) -> tuple[admission.Refusal | None, float]:
+        """Takes a cold server's call, if this gateway has one."""
+        now = time.monotonic()
+        server_id = candidate.entry.server.id
+        if candidate.report is not None:
+            cold = candidate.report.cold_seconds > 0
+        else:
+            cold = candidate.entry.cold_until > now
+        if not cold:
+            return None, 0.0
+        shared = self._shared
+        if not cold_limits.is_sender(
+            gateway=shared.members.own.ip,
+            gateways=[m.ip for m in shared.members.live(now=now)],
+            server_id=server_id,
+            calls_per_second=self._service.cold_calls_per_second,
+        ):
+            return (
+                admission.Refusal.COLD_LIMIT,
+                cold_limits.INTERVAL_SECONDS,
+            )
+        if not shared.cold.try_send(server_id, now=now):
+            wait = shared.cold.next_at(server_id) - now
+            return admission.Refusal.COLD_LIMIT, wait
+        return None, 0.0
