--- a/libs/standins/src/banyandale_standins/_deployments.py
+++ b/libs/standins/src/banyandale_standins/_deployments.py
@@ -49,6 +49,8 @@
     body_bytes: int = 0
     keyed: bool = False
     deadline_ms: int = 2000
+    # The default of the configuration.
+    retry_ratio: float = 0.1
 
     def capacity(self) -> float:
         """Calls per second of all servers when nothing slows them down."""
@@ -190,6 +192,7 @@
                     "name": service.name,
                     "priority": service.priority,
                     "timeout_ms": service.deadline_ms,
+                    "retry_ratio": service.retry_ratio,
                     "max_timeout_ms": 4 * service.deadline_ms,
                     "cold_limit": 1,
                     "cold_min_ms": 100,
