direct: read the store soon when no other gateway answers

Cause: after the loss of all gateways the starting ones listen 0.4 s for others before they read the store; only those named in the settings read at once.

Ruled out: the store (its answer took 26 ms), loading (done before).

Change: a gateway that knows of no other live one reads after 0.1 s. One that is answered by another gateway still waits for that zone's reader, so a single restart costs no more calls to the store.

The test fails without the change.

--- a/libs/direct/src/banyandale_direct/_following.py
+++ b/libs/direct/src/banyandale_direct/_following.py
@@ -110,7 +110,9 @@
         """Whether this gateway reads the store now."""
         now = time.monotonic()
         return self._election.should_read(
-            now=now, rank=self._table.rank(now=now)
+            now=now,
+            rank=self._table.rank(now=now),
+            alone=len(self._table.live(now=now)) == 1,
         )
 
     async def run(self) -> None:
--- a/libs/direct/src/banyandale_direct/_readers.py
+++ b/libs/direct/src/banyandale_direct/_readers.py
@@ -20,6 +20,10 @@
 # A starting gateway listens this long for others before it reads itself;
 # those whose addresses are in the settings of all others read at once.
 START_SECONDS = 0.4
+# One that hears nobody listens this long: a gateway that runs answers the
+# first digest within two round trips of 8 ms. After a restart of all, those
+# that the others know of may start last.
+ALONE_START_SECONDS = 0.1
 
 
 class ReaderElection:
@@ -27,6 +31,7 @@
 
     def __init__(self, *, started_at: float, at_once: bool = False) -> None:
         listen = 0.0 if at_once else START_SECONDS
+        self._started_at = started_at
         self._heard_at = started_at - SILENT_READER_SECONDS + listen
 
     def hear(self, *, now: float, ahead: bool, reading: bool) -> None:
@@ -40,12 +45,17 @@
         if ahead and reading:
             self._heard_at = now
 
-    def should_read(self, *, now: float, rank: int) -> bool:
+    def should_read(
+        self, *, now: float, rank: int, alone: bool = False
+    ) -> bool:
         """Whether this gateway reads.
 
         Args:
             now: Monotonic seconds.
             rank: Place of this gateway among the live ones of its zone.
+            alone: Whether no other gateway is known to be alive.
         """
+        if alone and now >= self._started_at + ALONE_START_SECONDS:
+            return True
         wait = SILENT_READER_SECONDS + min(rank, MOST_STEPS) * STEP_SECONDS
         return now >= self._heard_at + wait
--- a/libs/direct/tests/test_readers.py
+++ b/libs/direct/tests/test_readers.py
@@ -37,6 +37,20 @@
     assert election.should_read(now=10.0, rank=0)
 
 
+def test_a_starting_gateway_that_hears_nobody_reads_soon():
+    """Guards against calls turned away after a restart of all gateways.
+
+    The gateways that all others write to started last; the rest listened
+    for them for START_SECONDS and had no configuration so long.
+    """
+    election = readers.ReaderElection(started_at=0.0)
+    soon = readers.ALONE_START_SECONDS
+    assert not election.should_read(now=soon - 0.01, rank=0, alone=True)
+    assert election.should_read(now=soon, rank=0, alone=True)
+    # One that hears others waits for the reader among them.
+    assert not election.should_read(now=soon, rank=0, alone=False)
+
+
 def test_a_gateway_that_others_know_of_reads_at_once():
     """Guards against a restart of all gateways that waits for nobody."""
     election = readers.ReaderElection(started_at=0.0, at_once=True)
