direct: log what a rejected call's decision rests on

Change: an attempt without a server carries how many servers were asked and the best of them with its report and the report's age; `placed` and `refused` describe a server by the same function. One line per call as before.

No decision changes. The test fails without the change.

--- a/libs/direct/src/banyandale_direct/_channels.py
+++ b/libs/direct/src/banyandale_direct/_channels.py
@@ -43,6 +43,25 @@
     connection: http.ClientConnection | None
     reported_at: float
 
+    def describe(self, *, now: float) -> dict[str, object]:
+        """Returns what a decision by this report is logged with."""
+        entry = self.candidate.entry
+        fields: dict[str, object] = {
+            "server": entry.server.id,
+            "zone": entry.server.zone,
+            "entry_version": entry.version,
+        }
+        report = self.candidate.report
+        if report is not None:
+            fields |= {
+                "running": report.running,
+                "waiting": report.waiting,
+                "slowness": report.slowness,
+                "cold_seconds": report.cold_seconds,
+                "report_age": round(now - self.reported_at, 4),
+            }
+        return fields
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Shared:
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -90,6 +90,7 @@
         refusal: Why nothing was sent, else None.
         wait_seconds: Time until room is likely, with a refusal.
         error: Code of the failure, else None.
+        seen: What was seen when no server was chosen, for the log.
         report: Load report by which the server was chosen, if any.
         run: Whether the server may have run the call.
     """
@@ -102,6 +103,7 @@
     refusal: admission.Refusal | None = None
     wait_seconds: float = 0.0
     error: str | None = None
+    seen: dict[str, object] = dataclasses.field(default_factory=dict)
     report: placement.LoadReport | None = None
     run: core.RunMark = core.RunMark.NOT_RUN
 
@@ -166,6 +168,7 @@
                 if attempt.kind
                 else attempt.error
                 or (attempt.refusal.value if attempt.refusal else "open"),
+                **attempt.seen,
             }
             for attempt in self._attempts
         ]
@@ -346,6 +349,7 @@
         attempt.wait_seconds = choice.wait_seconds
         probe = choice.probe
         if probe is None:
+            attempt.seen = choice.describe(now=time.monotonic())
             return
         server = probe.candidate.entry.server
         attempt.server_id = server.id
@@ -477,27 +481,13 @@
         return beliefs.is_overdue(seconds, expected_seconds=work)
 
     def _log_placed(self, probe: channels.Probe, now: float) -> None:
-        report = probe.candidate.report
-        server = probe.candidate.entry.server
-        fields: dict[str, object] = {}
-        if report is not None:
-            fields = {
-                "running": report.running,
-                "waiting": report.waiting,
-                "slowness": report.slowness,
-                "cold_seconds": report.cold_seconds,
-                "report_age": round(now - probe.reported_at, 4),
-            }
         self._shared.events.write(
             "placed",
             request=self._call.id,
             route=self._route.name,
             service=self._service.name,
-            server=server.id,
-            zone=server.zone,
-            entry_version=probe.candidate.entry.version,
             config_version=self._version,
             attempt=len(self._attempts),
             remaining=round(self._answer_by - now, 3),
-            **fields,
+            **probe.describe(now=now),
         )
--- a/libs/direct/src/banyandale_direct/_selection.py
+++ b/libs/direct/src/banyandale_direct/_selection.py
@@ -27,12 +27,23 @@
         refusal: Why there is none, else None.
         wait_seconds: Time until room is likely, with a refusal.
         may_wait: Whether looking again soon may find room.
+        asked: How many servers were asked, with a refusal.
+        best: The best of them, if any.
     """
 
     probe: channels.Probe | None = None
     refusal: admission.Refusal | None = None
     wait_seconds: float = 0.0
     may_wait: bool = False
+    asked: int = 0
+    best: channels.Probe | None = None
+
+    def describe(self, *, now: float) -> dict[str, object]:
+        """Returns what a refusal is logged with."""
+        fields: dict[str, object] = {"asked": self.asked}
+        if self.best is not None:
+            fields["best"] = self.best.describe(now=now)
+        return fields
 
 
 class Selection:
@@ -122,6 +133,10 @@
                 )
                 probes += await probing.ask(drawn)
             choice = self._admit(probes, demand)
+            if choice.probe is None:
+                return dataclasses.replace(
+                    choice, asked=len(probes), best=self._best(probes, demand)
+                )
             return choice
         finally:
             await probing.close()
--- a/libs/direct/tests/test_forwarding.py
+++ b/libs/direct/tests/test_forwarding.py
@@ -8,9 +8,13 @@
 
 import banyandale_core as core
 from banyandale_direct import _admission as admission
+from banyandale_direct import _channels as channels
 from banyandale_direct import _configuration as configuration
 from banyandale_direct import _forwarding as forwarding
+from banyandale_direct import _placement as placement
 from banyandale_direct import _protocols as protocols
+from banyandale_direct import _registry as registry
+from banyandale_direct import _selection as selection
 import banyandale_http as http
 
 ROUTE = configuration.Route(
@@ -122,3 +126,38 @@
     )
     exchange._attempts = [shed]
     assert exchange._give_up().status == forwarding.NOT_RUN_STATUS
+
+
+def test_a_refusal_is_logged_with_the_report_that_it_rests_on():
+    """Guards against a rejected call whose cause no log line shows."""
+    entry = registry.Entry(
+        server=registry.Server(
+            id="i", address="127.0.0.1:1", service="s", zone="z", slots=2
+        ),
+        version=4,
+        cold_until=0.0,
+    )
+    report = placement.LoadReport(healthy=True, running=2, slots=2, slowness=4)
+    best = channels.Probe(
+        candidate=placement.Candidate(entry=entry, report=report, local=True),
+        connection=None,
+        reported_at=0.0,
+    )
+
+    class Selection:
+        async def choose(self, **_):
+            return selection.Choice(
+                refusal=admission.Refusal.NO_ROOM, asked=3, best=best
+            )
+
+    exchange = make_exchange(Pool())
+    exchange._selection = Selection()
+    attempt = forwarding._Attempt()
+    exchange._attempts.append(attempt)
+    curio.run(exchange._attempt, attempt)
+    (logged,) = exchange.attempts
+    assert (logged["outcome"], logged["asked"]) == ("no_room", 3)
+    found = logged["best"]
+    assert (found["server"], found["entry_version"]) == ("i", 4)
+    assert (found["running"], found["slowness"]) == (2, 4)
+    assert found["report_age"] > 0
