--- a/libs/direct/src/banyandale_direct/_admission.py
+++ b/libs/direct/src/banyandale_direct/_admission.py
@@ -26,6 +26,8 @@
 # Calls that may wait at a server, per slot. One that has more waiting sheds
 # (the users' site files: 2 slots, a queue of 4).
 WAITING_PER_SLOT = 2
+# Work of a call that nine in ten stay below, relative to the usual work.
+WORK_MARGIN = 1.3
 # With this many calls waiting per slot a server's queue is so long that a
 # place in it is worth nothing to a call with a target.
 CROWDED_WAITING_PER_SLOT = 1
@@ -114,14 +116,14 @@
     @property
     def last_chance_at(self) -> float:
         """When an idle server can just meet the target."""
-        return self.target_at - self.work_seconds * placement.WORK_MARGIN
+        return self.target_at - self.work_seconds * WORK_MARGIN
 
     @property
     def give_up_at(self) -> float:
         """Until when a call that is late waits for a normal server."""
         return min(
             self.last_chance_at + LATE_HOLD_SECONDS,
-            self.answer_by - self.work_seconds * placement.WORK_MARGIN,
+            self.answer_by - self.work_seconds * WORK_MARGIN,
         )
 
 
@@ -163,7 +165,7 @@
         return Verdict.SEND
     if now + HOLD_STEP_SECONDS <= prospect.give_up_at:
         return Verdict.WAIT
-    in_time = now + estimate * placement.WORK_MARGIN <= prospect.answer_by
+    in_time = now + estimate * WORK_MARGIN <= prospect.answer_by
     return Verdict.SEND if idle and in_time else Verdict.REJECT
 
 
--- a/libs/direct/src/banyandale_direct/_placement.py
+++ b/libs/direct/src/banyandale_direct/_placement.py
@@ -5,9 +5,8 @@
 when the next call comes. A call that starts in such a stretch takes that many
 times longer as a whole. A few servers are asked right before each send; the
 call goes to the one that is likely to answer first. Servers of other zones
-are asked only when the best of the own zone is so crowded or slow that the
-call would miss its target there, because bytes between zones are dear and an
-answer inside its target is as good as a faster one.
+are asked only when the best of the own zone is crowded or slow, because bytes
+between zones are dear.
 """
 
 from collections.abc import Sequence
@@ -42,8 +41,6 @@
 # weighs 6 ms, one of 90 kB half a second, about what it is late by at its
 # target.
 CROSSING_SECONDS_PER_BYTE = 6e-6
-# Work of a call that nine in ten stay below, relative to the usual work.
-WORK_MARGIN = 1.3
 # Servers elsewhere are asked when the own zone's best is this much slower
 # than an idle one.
 WIDEN_FACTOR = 1.15
@@ -177,11 +174,7 @@
 
 
 def should_widen(
-    best: Candidate | None,
-    demand: Demand,
-    *,
-    crossing: bool,
-    spare_seconds: float,
+    best: Candidate | None, demand: Demand, *, crossing: bool
 ) -> bool:
     """Whether servers of the next group could be better than the best.
 
@@ -189,22 +182,13 @@
         best: The best server so far.
         demand: What the call needs.
         crossing: Whether the next group is in other zones.
-        spare_seconds: Time until the call's target.
     """
     if best is None:
         return True
-    cost = rank(best, demand)
-    if not crossing:
-        return cost > demand.work_seconds * WIDEN_FACTOR
-    report = best.report
-    if (
-        report is not None
-        and report.running < report.slots
-        and cost * WORK_MARGIN <= spare_seconds
-    ):
-        return False
-    idle = demand.work_seconds * WIDEN_FACTOR + demand.crossing_seconds
-    return cost > idle
+    idle = demand.work_seconds * WIDEN_FACTOR
+    if crossing:
+        idle += demand.crossing_seconds
+    return rank(best, demand) > idle
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/libs/direct/src/banyandale_direct/_selection.py
+++ b/libs/direct/src/banyandale_direct/_selection.py
@@ -126,7 +126,6 @@
                     best.candidate if best else None,
                     demand,
                     crossing=not group.local,
-                    spare_seconds=self._target_at - time.monotonic(),
                 ):
                     break
                 drawn = placement.draw_servers(
