peer: tell peers of a home gained between two heartbeats

Cause: a load report also carried homes that the peer did not know yet. The peer ignores those, but the sender noted them as sent, so no later heartbeat named them: peers left the home out of lookups and of their choice until another change. It needs a home gained and its load announced within one heartbeat (0.5 s), which a loaded machine makes likely.

Ruled out: suspected links, leases (all valid), two holders.

Change: a load report names only homes of the last full heartbeat; a new one makes the next heartbeat a full one. The new test fails without it.

--- a/libs/peer/src/banyandale_peer/_control.py
+++ b/libs/peer/src/banyandale_peer/_control.py
@@ -128,11 +128,9 @@
         )
 
 
-def has_changed(
-    old: messages.HomeReport | None, new: messages.HomeReport
-) -> bool:
+def has_changed(old: messages.HomeReport, new: messages.HomeReport) -> bool:
     """Whether a load differs enough from the last sent one to be sent."""
-    if old is None or (old.free_slots == 0) != (new.free_slots == 0):
+    if (old.free_slots == 0) != (new.free_slots == 0):
         return True
     change = abs(new.wait - old.wait)
     threshold = max(old.wait * LOAD_CHANGE_RATIO, LOAD_CHANGE_FLOOR_SECONDS)
@@ -228,16 +226,24 @@
     def _find_changes(
         self, homes: tuple[messages.HomeReport, ...]
     ) -> tuple[messages.HomeReport, ...]:
-        """Returns the loads that the peer needs to know now."""
+        """Returns the loads that the peer needs to know now.
+
+        The peer takes loads only of homes that it knows. One that was gained
+        since the last full heartbeat is told by the next.
+        """
         if self._peer.heartbeat is None:
             return ()
         interested = {home.service for home in self._peer.heartbeat.homes}
-        return tuple(
-            home
-            for home in homes
-            if home.service in interested
-            and has_changed(self._reported.get((home.service, home.zone)), home)
-        )
+        changed = []
+        for home in homes:
+            old = self._reported.get((home.service, home.zone))
+            if (
+                old is not None
+                and home.service in interested
+                and has_changed(old, home)
+            ):
+                changed.append(home)
+        return tuple(changed)
 
     async def request(
         self, kind: str, payload: bytes, *, deadline: float
--- a/libs/peer/tests/test_node.py
+++ b/libs/peer/tests/test_node.py
@@ -359,6 +359,37 @@
     curio.run(main)
 
 
+def test_home_gained_between_two_heartbeats_becomes_known():
+    """Guards against a home that peers never learn of.
+
+    Its load was announced before the next heartbeat; the peer ignored the
+    load of a home it did not know, and no heartbeat named the home later.
+    Lookups then left it out and calls to it were refused as no_home.
+    """
+
+    async def main():
+        async with linked_nodes() as (first, second):
+
+            def find_homes():
+                (known,) = second.peers()
+                homes = known.heartbeat.homes if known.heartbeat else ()
+                return {home.zone for home in homes}
+
+            # A gateway sends reports only to peers that it has heard of.
+            await wait_until(
+                lambda: (
+                    find_homes() == {"a"}
+                    and first.peers()[0].heartbeat is not None
+                )
+            )
+            gained = peer.HomeReport(service="catalogue", zone="b")
+            first.state.homes = (*first.state.homes, gained)
+            await first.announce()
+            await wait_until(lambda: find_homes() == {"a", "b"})
+
+    curio.run(main)
+
+
 def test_stop_lets_calls_finish():
     """Guards against a planned shutdown that interrupts a request."""
 
