direct: one copy of repeated pieces, and no dead ones

Cause: a read of the whole change found pieces written twice and pieces that nothing uses.

Ruled out for merging, since each would change what is decided: the pauses of _following and _registration with banyandale_retry.Backoff (other jitter, other limits), the hash order with that of banyandale_lease.

Before and after: the same decisions; the tests of the touched packages pass with their assertions unchanged.

--- a/libs/core/src/banyandale_core/_prometheus.py
+++ b/libs/core/src/banyandale_core/_prometheus.py
@@ -3,9 +3,9 @@
 import prometheus_client
 from prometheus_client import exposition
 
+from banyandale_core import _clocks as clocks
 from banyandale_core import _metrics as metrics
 
-MILLISECONDS_PER_SECOND = 1000
 # Upper bounds in seconds: from the overhead of one hop to the longest
 # deadline of the first users' requests (13 s).
 LATENCY_BUCKETS = (
@@ -56,7 +56,7 @@
 
     def timing(self, name: str, milliseconds: float) -> None:
         """Adds one duration to the histogram `name`."""
-        seconds = milliseconds / MILLISECONDS_PER_SECOND
+        seconds = milliseconds / clocks.MILLISECONDS_PER_SECOND
         self._timings.labels(*_split_name(name)).observe(seconds)
 
     def render(self) -> bytes:
--- a/libs/direct/src/banyandale_direct/_configuration.py
+++ b/libs/direct/src/banyandale_direct/_configuration.py
@@ -30,7 +30,6 @@
         wait_seconds: Longest time from the arrival of a call to its answer.
         target_seconds: Time within which an answer has its full value.
         max_attempts: Servers to which one call may be sent.
-        priority: Rank; 0 is the highest.
         regions: Regions whose servers may run the calls; empty for all.
     """
 
@@ -41,7 +40,6 @@
     wait_seconds: float
     target_seconds: float
     max_attempts: int
-    priority: int
     regions: frozenset[str] = frozenset()
 
 
@@ -52,14 +50,12 @@
     Attributes:
         name: Name of the service.
         health_path: Path of the health and load report.
-        max_connections: Connections that one server takes from all gateways.
         cold_calls_per_second: Calls per second that a server in cold start
             takes from all gateways together.
     """
 
     name: str
     health_path: str
-    max_connections: int
     cold_calls_per_second: float
 
 
--- a/libs/direct/src/banyandale_direct/_following.py
+++ b/libs/direct/src/banyandale_direct/_following.py
@@ -112,7 +112,7 @@
         return self._election.should_read(
             now=now,
             rank=self._table.rank(now=now),
-            alone=len(self._table.live(now=now)) == 1,
+            alone=self._table.is_alone(now=now),
         )
 
     async def run(self) -> None:
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -289,11 +289,14 @@
             gateways=self._shared.members.count_known(),
         )
 
-    def _give_up(self) -> Final:
-        if any(
+    def _may_have_run(self) -> bool:
+        return any(
             attempt.run is not core.RunMark.NOT_RUN
             for attempt in self._attempts
-        ):
+        )
+
+    def _give_up(self) -> Final:
+        if self._may_have_run():
             return Final(
                 response=None,
                 status=TIMED_OUT_STATUS,
@@ -304,15 +307,12 @@
     def _conclude(self) -> Final:
         """Chooses the answer when no attempt was served."""
         failed = None
-        maybe_run = False
         for attempt in self._attempts:
             if attempt.kind is protocols.AnswerKind.FAILED:
                 failed = attempt.response
-            if attempt.run is not core.RunMark.NOT_RUN:
-                maybe_run = True
         if failed is not None:
             return Final(response=failed, status=failed.status)
-        if maybe_run:
+        if self._may_have_run():
             return Final(
                 response=None,
                 status=UNKNOWN_STATUS,
--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -13,7 +13,6 @@
 from banyandale_direct import _calls as calls
 from banyandale_direct import _channels as channels
 from banyandale_direct import _cold_limits as cold_limits
-from banyandale_direct import _configuration as configuration
 from banyandale_direct import _context as context
 from banyandale_direct import _demands as demands
 from banyandale_direct import _endpoints as endpoints
@@ -101,7 +100,7 @@
             documents=adapter.documents,
             servers=self._registry,
             loaded=loaded,
-            on_configuration=self._use,
+            on_configuration=self._calls.use,
             events=events,
             metrics=metrics,
         )
@@ -138,9 +137,6 @@
             random_source=self._random,
         )
 
-    def _use(self, current: configuration.Configuration) -> None:
-        self._calls.use(current)
-
     def is_ready(self) -> bool:
         """Whether callers may be sent to this gateway."""
         return (
--- a/libs/direct/src/banyandale_direct/_gossip.py
+++ b/libs/direct/src/banyandale_direct/_gossip.py
@@ -105,7 +105,7 @@
         now = time.monotonic()
         self._table.advance(ready=self._is_ready())
         targets = self._table.draw_targets(now=now)
-        if len(self._table.live(now=now)) == 1:
+        if self._table.is_alone(now=now):
             targets += self._seeds
         await self._send(self._encode(full=True), targets)
 
--- a/libs/direct/src/banyandale_direct/_hedging.py
+++ b/libs/direct/src/banyandale_direct/_hedging.py
@@ -6,8 +6,8 @@
 rarely causes one.
 """
 
-# Time that a second send needs, relative to the usual work.
-NEEDED_FACTOR = 1.3
+from banyandale_direct import _admission as admission
+
 # No second send before the first has taken this much of the usual work.
 PATIENCE_FACTOR = 1.2
 
@@ -20,5 +20,7 @@
     work_seconds: float,
 ) -> float:
     """Returns when the second send is due, in monotonic seconds."""
-    last_chance = started_at + target_seconds - NEEDED_FACTOR * work_seconds
+    last_chance = (
+        started_at + target_seconds - admission.WORK_MARGIN * work_seconds
+    )
     return max(last_chance, sent_at + PATIENCE_FACTOR * work_seconds)
--- a/libs/direct/src/banyandale_direct/_members.py
+++ b/libs/direct/src/banyandale_direct/_members.py
@@ -140,6 +140,10 @@
         ]
         return [self._own, *others]
 
+    def is_alone(self, *, now: float) -> bool:
+        """Whether no other gateway is known to be alive."""
+        return len(self.live(now=now)) == 1
+
     def live_in_zone(self, *, now: float) -> list[Member]:
         """Returns the live gateways of the own zone, in the agreed order."""
         local = [m for m in self.live(now=now) if m.zone == self._own.zone]
--- a/libs/direct/src/banyandale_direct/_registration.py
+++ b/libs/direct/src/banyandale_direct/_registration.py
@@ -53,7 +53,7 @@
         pause = FIRST_PAUSE_SECONDS
         while True:
             now = time.monotonic()
-            alone = len(self._table.live(now=now)) == 1
+            alone = self._table.is_alone(now=now)
             if not alone and self._table.rank(now=now) > 0:
                 await curio.sleep(LISTEN_SECONDS)
                 continue
--- a/libs/direct/tests/test_channels.py
+++ b/libs/direct/tests/test_channels.py
@@ -12,7 +12,7 @@
 import banyandale_http as http
 
 SERVICE = configuration.Service(
-    name="s", health_path="/h", max_connections=9, cold_calls_per_second=1.0
+    name="s", health_path="/h", cold_calls_per_second=1.0
 )
 
 
--- a/libs/direct/tests/test_configuration.py
+++ b/libs/direct/tests/test_configuration.py
@@ -12,7 +12,6 @@
         wait_seconds=1.0,
         target_seconds=0.5,
         max_attempts=2,
-        priority=0,
     )
 
 
--- a/libs/direct/tests/test_forwarding.py
+++ b/libs/direct/tests/test_forwarding.py
@@ -25,7 +25,6 @@
     wait_seconds=1.0,
     target_seconds=0.5,
     max_attempts=2,
-    priority=0,
 )
 
 
--- a/libs/http/src/banyandale_http/__init__.py
+++ b/libs/http/src/banyandale_http/__init__.py
@@ -22,7 +22,6 @@
 from banyandale_http._sockets import open_socket
 from banyandale_http._sockets import parse_address
 from banyandale_http._sockets import peek
-from banyandale_http._sockets import set_keepalive
 from banyandale_http._sockets import set_options
 
 __all__ = [
@@ -48,6 +47,5 @@
     "open_socket",
     "parse_address",
     "peek",
-    "set_keepalive",
     "set_options",
 ]
--- a/libs/http/src/banyandale_http/_server.py
+++ b/libs/http/src/banyandale_http/_server.py
@@ -49,7 +49,6 @@
             our_role=h11.SERVER, max_incomplete_event_size=max_head_bytes
         )
         self._closing = False
-        self._started_at = time.monotonic()
         self.used_at = time.monotonic()
 
     async def read_request(
@@ -101,9 +100,9 @@
                 self._http.receive_data(data)
         except (OSError, curio.TaskTimeout):
             return None
-        self._started_at = time.monotonic()
+        head_deadline = time.monotonic() + head_seconds
         try:
-            async with core.timeout_at(self._started_at + head_seconds):
+            async with core.timeout_at(head_deadline):
                 head = await self._next_event()
             return await self._read_rest(head, limit)
         except (TimeoutError, curio.TaskTimeout) as error:
@@ -168,11 +167,6 @@
             # Another type, since a timeout must not leave an outer one.
             raise TimeoutError("caller fell silent") from error
 
-    @property
-    def started_at(self) -> float:
-        """Monotonic seconds when the first byte of the request was read."""
-        return self._started_at
-
     @property
     def is_reusable(self) -> bool:
         """Whether another request may follow on this connection."""
