direct: log fields of a load report that cannot be read

A header with "nan" or "inf" raised instead, which ended the probe's task, so that the call waited for the probe's time limit.

Change: the adapter names the fields that it could not read, the gateway logs `report_unreadable` (server, fields) and counts it. Such a report still counts as normal; one with nan or inf now does so as well. A missing header is no error: some servers tell no load.

The new tests fail without the change. No other decision changes.

--- a/libs/direct/src/banyandale_direct/_channels.py
+++ b/libs/direct/src/banyandale_direct/_channels.py
@@ -82,9 +82,14 @@
     """Keeps a pool of connections per server address."""
 
     def __init__(
-        self, *, dialect: protocols.ServerDialect, metrics: core.Metrics
+        self,
+        *,
+        dialect: protocols.ServerDialect,
+        events: core.EventLog,
+        metrics: core.Metrics,
     ) -> None:
         self._dialect = dialect
+        self._events = events
         self._metrics = metrics
         self._pools: dict[str, http.Pool] = {}
         self._last: dict[str, _Shared] = {}
@@ -195,7 +200,7 @@
                 raise
             else:
                 self._metrics.incr("probes")
-                report = self._dialect.read_report(response)
+                report = self._read_report(entry, response)
                 break
         if connection is not None and not connection.is_reusable:
             await pool.discard(connection)
@@ -206,6 +211,19 @@
             reported_at=time.monotonic(),
         )
 
+    def _read_report(
+        self, entry: registry.Entry, response: http.Response
+    ) -> placement.LoadReport:
+        report = self._dialect.read_report(response)
+        if report.unreadable:
+            self._metrics.incr("report_unreadable")
+            self._events.write(
+                "report_unreadable",
+                server=entry.server.id,
+                fields=report.unreadable,
+            )
+        return report
+
 
 def _share(last: _Shared, candidate: placement.Candidate) -> Probe:
     report = last.report
--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -83,7 +83,7 @@
             patience=demands.PatienceTracker(),
             cold=cold_limits.ColdLimiter(),
             channels=channels.Channels(
-                dialect=adapter.servers, metrics=metrics
+                dialect=adapter.servers, events=events, metrics=metrics
             ),
             members=self._table,
             settings=loaded,
--- a/libs/direct/src/banyandale_direct/_placement.py
+++ b/libs/direct/src/banyandale_direct/_placement.py
@@ -64,6 +64,8 @@
         slots: Calls that it can run at the same time.
         slowness: How long work takes, relative to normal (1.0).
         cold_seconds: How much longer it is in cold start.
+        unreadable: Fields of the answer that could not be read and count as
+            normal, for the log; empty if there are none.
     """
 
     healthy: bool
@@ -73,6 +75,7 @@
     slots: int = 1
     slowness: float = 1.0
     cold_seconds: float = 0.0
+    unreadable: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/libs/direct/tests/test_channels.py
+++ b/libs/direct/tests/test_channels.py
@@ -27,6 +27,26 @@
         return placement.LoadReport(healthy=True, slots=2)
 
 
+class Events:
+    """Keeps the lines that a log would write."""
+
+    def __init__(self):
+        self.lines = []
+
+    def write(self, event, **fields):
+        self.lines.append((event, fields))
+
+
+def make_entry(address):
+    return registry.Entry(
+        server=registry.Server(
+            id="a", address=address, service="s", zone="z", slots=2
+        ),
+        version=1,
+        cold_until=0.0,
+    )
+
+
 async def serve(listener, counts):
     while True:
         sock, _ = await listener.accept()
@@ -56,15 +76,11 @@
         address = f"127.0.0.1:{listener.getsockname()[1]}"
         counts = {"connections": 0, "requests": 0}
         task = await curio.spawn(serve, listener, counts, daemon=True)
-        entry = registry.Entry(
-            server=registry.Server(
-                id="a", address=address, service="s", zone="z", slots=2
-            ),
-            version=1,
-            cold_until=0.0,
-        )
+        entry = make_entry(address)
         metrics = core.MemoryMetrics()
-        found = channels.Channels(dialect=Dialect(), metrics=metrics)
+        found = channels.Channels(
+            dialect=Dialect(), events=Events(), metrics=metrics
+        )
 
         async def probe():
             return await found.probe(
@@ -91,3 +107,41 @@
         await listener.close()
 
     curio.run(main)
+
+
+def test_a_report_that_cannot_be_read_is_logged():
+    """Guards against a server whose load counts as none without a word."""
+
+    class Garbled(Dialect):
+        def read_report(self, response):
+            return placement.LoadReport(healthy=True, unreadable=("load: x",))
+
+    async def main():
+        listener = http.open_listener("127.0.0.1:0")
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        counts = {"connections": 0, "requests": 0}
+        task = await curio.spawn(serve, listener, counts, daemon=True)
+        entry = make_entry(address)
+        events, metrics = Events(), core.MemoryMetrics()
+        found = channels.Channels(
+            dialect=Garbled(), events=events, metrics=metrics
+        )
+        probe = await found.probe(
+            entry,
+            SERVICE,
+            local=True,
+            avoided=False,
+            deadline=time.monotonic() + 2,
+        )
+        await found.release(probe)
+        (line,) = events.lines
+        assert line == (
+            "report_unreadable",
+            {"server": "a", "fields": ("load: x",)},
+        )
+        assert metrics.counters["report_unreadable"] == 1
+        await found.keep_only({})
+        await task.cancel()
+        await listener.close()
+
+    curio.run(main)
--- a/tests/adapter/test_servers.py
+++ b/tests/adapter/test_servers.py
@@ -75,6 +75,8 @@
         (b"3,1,8,400", (3, 1, 8, 4.0)),
         (b"three", (0, 0, 1, 1.0)),
         (b"", (0, 0, 1, 1.0)),
+        (b"nan,1,8", (0, 0, 1, 1.0)),
+        (b"3,1,inf", (0, 0, 1, 1.0)),
     ],
 )
 def test_reports_are_read(load, expected):
@@ -93,3 +95,20 @@
     assert (report.server_id, report.cold_seconds) == ("i-1", 1.5)
     found = (report.running, report.waiting, report.slots, report.slowness)
     assert found == expected
+
+
+@pytest.mark.parametrize(
+    ("load", "warmup", "count"),
+    [
+        (b"3,1,8,400", b"1500", 0),
+        (b"", b"", 0),
+        (b"three", b"1500", 1),
+        (b"3,1", b"soon", 2),
+        (b"nan,1,8", b"inf", 2),
+    ],
+)
+def test_unreadable_fields_of_a_report_are_told(load, warmup, count):
+    """Guards against load reports that turn into zeros without a word."""
+    headers = ((b"x-server-load", load), (b"x-warmup-ms", warmup))
+    report = DIALECT.read_report(http.Response(status=200, headers=headers))
+    assert len(report.unreadable) == count
