direct, http: serve pipelined calls concurrently, answer them in order

Cause: a connection read one request, served it and read the next. A caller that left with unread bytes in the socket was not noticed, and an answer with `Connection: close` was lost to a reset when a pipelined request lay unread behind it.

Ruled out: serving one by one with a shorter queue, which leaves the wait.

Change: each request has its own h11 connection; responses go to the oldest unanswered request. Per connection one task reads and one serves each call. A call that may not be repeated waits until the earlier ones are settled, and the later ones wait for it. A stopping gateway reads nothing more, answers all that it has read, and only the last answer has `Connection: close`; closing reads on for up to a second.

--- a/libs/direct/src/banyandale_direct/_calls.py
+++ b/libs/direct/src/banyandale_direct/_calls.py
@@ -1,5 +1,6 @@
 """Serves callers' connections: reads calls and writes their answers."""
 
+import dataclasses
 import time
 
 import curio
@@ -10,6 +11,7 @@
 from banyandale_direct import _configuration as configuration
 from banyandale_direct import _context as context
 from banyandale_direct import _forwarding as forwarding
+from banyandale_direct import _pipelines as pipelines
 from banyandale_direct import _protocols as protocols
 from banyandale_direct import _shares as shares
 from banyandale_direct import _stops as stops
@@ -24,6 +26,30 @@
 STOPPING_RETRY_AFTER_SECONDS = 0.0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _ReadCall:
+    """A call as read, before anything was decided about it.
+
+    Attributes:
+        call: The call.
+        arrived_at: Monotonic seconds when it had arrived.
+        current: Configuration in force at that time, or None.
+        route: Its route, or None.
+        error: Why its headers cannot be read, or None.
+    """
+
+    call: protocols.Call
+    arrived_at: float
+    current: configuration.Configuration | None = None
+    route: configuration.Route | None = None
+    error: protocols.MalformedCallError | None = None
+
+    @property
+    def may_overlap(self) -> bool:
+        """Whether it may run while other calls of its caller run."""
+        return self.route is None or self.route.repeatable
+
+
 class CallServer:
     """Serves the connections of callers.
 
@@ -53,142 +79,92 @@
         self.configuration = current
         self._rotations.keep_only(current)
 
+    def limits(self) -> configuration.Limits:
+        """Returns the current limits of callers' requests."""
+        if self.configuration is None:
+            return configuration.Limits()
+        return self.configuration.limits
+
     async def serve(self, sock: curio.io.Socket) -> None:
         """Serves one connection until it ends."""
-        limits = self._limits()
-        connection = http.ServerConnection(
-            sock=sock, max_head_bytes=limits.head_bytes
+        conversation = _Conversation(
+            server=self,
+            shared=self._shared,
+            connection=http.ServerConnection(
+                sock=sock, max_head_bytes=self.limits().head_bytes
+            ),
         )
         self.open_connections += 1
         try:
-            while await self._serve_one(connection):
-                pass
-        except http.CallerGoneError:
-            self._shared.metrics.incr("caller_left")
+            await conversation.run()
         finally:
             self.open_connections -= 1
-            await connection.close()
-
-    def _limits(self) -> configuration.Limits:
-        if self.configuration is None:
-            return configuration.Limits()
-        return self.configuration.limits
 
-    async def _serve_one(self, connection: http.ServerConnection) -> bool:
-        limits = self._limits()
-        try:
-            request = await connection.read_request(
-                limit=limits.body_bytes,
-                idle_deadline=time.monotonic() + limits.idle_seconds,
-                head_seconds=limits.head_seconds,
-            )
-        except http.MalformedRequestError as error:
-            await self._reject_malformed(connection, error)
-            return False
-        if request is None:
-            return False
-        self.open_calls += 1
-        try:
-            return await self._answer(connection, request)
-        finally:
-            self.open_calls -= 1
-
-    async def _reject_malformed(
-        self, connection: http.ServerConnection, error: http.HttpError
-    ) -> None:
-        self._shared.metrics.incr(f"refused:{error.code}")
-        self._shared.events.write(
-            "refused", request="", reason=error.code, detail=str(error)
-        )
-        connection.close_after_response()
-        await connection.send_response(
-            self._codec.write_refusal(
-                call_id="",
-                status=error.status,
-                refusal=admission.Refusal.MALFORMED,
-                retry_after_seconds=None,
-            )
-        )
-
-    async def _answer(
-        self, connection: http.ServerConnection, request: http.Request
-    ) -> bool:
-        started_at = time.monotonic()
+    def read_call(self, request: http.Request, arrived_at: float) -> _ReadCall:
+        """Reads a request and finds its route."""
         try:
             call = self._codec.read_call(request)
         except protocols.MalformedCallError as error:
             call = protocols.Call(
                 id="", host="", path="", remaining_seconds=None, request=request
             )
-            final = self._refuse_malformed(error)
-            exchange = None
-        else:
-            final, exchange = await self._decide(connection, call, started_at)
-        if final is None:
-            return False
-        self._log(call, final, exchange, started_at)
-        if self.stop is not None:
-            connection.close_after_response()
-        response = final.response
-        if response is None:
-            response = self._codec.write_refusal(
-                call_id=call.id,
-                status=final.status,
-                refusal=final.refusal or admission.Refusal.NO_ROOM,
-                retry_after_seconds=final.retry_after_seconds,
-            )
-        await connection.send_response(response)
-        return connection.is_reusable
-
-    def _refuse_malformed(self, error: Exception) -> forwarding.FinalAnswer:
-        self._shared.events.write(
-            "malformed_call", request="", detail=str(error)
-        )
-        return forwarding.FinalAnswer(
-            response=None,
-            status=BAD_REQUEST_STATUS,
-            refusal=admission.Refusal.MALFORMED,
-        )
-
-    async def _decide(
-        self,
-        connection: http.ServerConnection,
-        call: protocols.Call,
-        started_at: float,
-    ) -> tuple[forwarding.FinalAnswer | None, forwarding.Exchange | None]:
+            return _ReadCall(call=call, arrived_at=arrived_at, error=error)
         current = self.configuration
         if current is None or not self._shared.registry.loaded:
+            return _ReadCall(call=call, arrived_at=arrived_at)
+        return _ReadCall(
+            call=call,
+            arrived_at=arrived_at,
+            current=current,
+            route=current.find_route(host=call.host, path=call.path),
+        )
+
+    def decide(
+        self, read: _ReadCall
+    ) -> forwarding.FinalAnswer | forwarding.Exchange:
+        """Returns the answer to a call that is rejected, else its exchange."""
+        call, route, current = read.call, read.route, read.current
+        if read.error is not None:
+            return self._refuse_malformed(read.error)
+        if current is None:
             return forwarding.refuse_not_run(
                 admission.Refusal.NOT_CONFIGURED,
                 UNCONFIGURED_RETRY_AFTER_SECONDS,
-            ), None
-        route = current.find_route(host=call.host, path=call.path)
+            )
         if route is None:
             return forwarding.FinalAnswer(
                 response=None,
                 status=NO_ROUTE_STATUS,
                 refusal=admission.Refusal.NO_ROUTE,
-            ), None
-        service = current.services[self._rotations.choose(route)]
+            )
         if not self._accepts(route.name):
             return forwarding.refuse_not_run(
                 admission.Refusal.STOPPING, STOPPING_RETRY_AFTER_SECONDS
-            ), None
+            )
         age = 0.0
         if call.remaining_seconds is not None:
             age = self._shared.call_ages.find_age(
                 route.name, call.remaining_seconds
             )
-        exchange = forwarding.Exchange(
+        return forwarding.Exchange(
             shared=self._shared,
             call=call,
             route=route,
-            service=service,
-            started_at=started_at,
+            service=current.services[self._rotations.choose(route)],
+            started_at=read.arrived_at,
             age_seconds=age,
             version=current.version,
         )
-        return await exchange.run(connection), exchange
+
+    def _refuse_malformed(self, error: Exception) -> forwarding.FinalAnswer:
+        self._shared.events.write(
+            "malformed_call", request="", detail=str(error)
+        )
+        return forwarding.FinalAnswer(
+            response=None,
+            status=BAD_REQUEST_STATUS,
+            refusal=admission.Refusal.MALFORMED,
+        )
 
     def _accepts(self, route: str) -> bool:
         if self.stop is None:
@@ -198,14 +174,28 @@
             estimate_seconds=self._shared.demands.find(route).work_seconds,
         )
 
-    def _log(
+    def write_answer(
+        self, call_id: str, final: forwarding.FinalAnswer
+    ) -> http.Response:
+        """Returns the response for a final answer."""
+        if final.response is not None:
+            return final.response
+        return self._codec.write_refusal(
+            call_id=call_id,
+            status=final.status,
+            refusal=final.refusal or admission.Refusal.NO_ROOM,
+            retry_after_seconds=final.retry_after_seconds,
+        )
+
+    def log_answer(
         self,
-        call: protocols.Call,
+        read: _ReadCall,
         final: forwarding.FinalAnswer,
-        exchange: forwarding.Exchange | None,
-        started_at: float,
+        attempts: list[dict[str, object]],
     ) -> None:
-        seconds = time.monotonic() - started_at
+        """Logs and counts the final answer of a call."""
+        call = read.call
+        seconds = time.monotonic() - read.arrived_at
         outcome = final.refusal.value if final.refusal else "answered"
         metrics: core.Metrics = self._shared.metrics
         if final.refusal:
@@ -226,5 +216,186 @@
             seconds=round(seconds, 4),
             return_seconds=final.retry_after_seconds,
             config_version=current.version if current else None,
-            attempts=exchange.attempts if exchange else [],
+            attempts=attempts,
+        )
+
+
+class _Conversation:
+    """One connection: a task reads the calls, and one serves each of them."""
+
+    def __init__(
+        self,
+        *,
+        server: CallServer,
+        shared: context.Shared,
+        connection: http.ServerConnection,
+    ) -> None:
+        self._server = server
+        self._shared = shared
+        self._connection = connection
+        self._pipeline = pipelines.Pipeline()
+        self._exchanges: set[forwarding.Exchange] = set()
+        self._tasks: set[curio.Task] = set()
+        # Whether no answer can be sent any more.
+        self._broken = False
+
+    async def run(self) -> None:
+        """Serves the connection until it ends."""
+        try:
+            while await self._read_next():
+                pass
+            if self._connection.caller_left:
+                await self._abandon()
+            elif self._pipeline.newest is not None:
+                await self._finish_calls(self._pipeline.newest)
+        finally:
+            for task in tuple(self._tasks):
+                await task.cancel()
+            await self._connection.close()
+
+    async def _read_next(self) -> bool:
+        """Reads and starts one call; returns whether another may follow."""
+        while not self._pipeline.has_room():
+            # A caller that leaves in the meantime is noticed afterwards.
+            await self._pipeline.oldest.answered.wait()
+        if self._broken:
+            return False
+        limits = self._server.limits()
+        try:
+            request = await self._connection.read_request(
+                limit=limits.body_bytes,
+                idle_deadline=time.monotonic() + limits.idle_seconds,
+                head_seconds=limits.head_seconds,
+            )
+        except http.MalformedRequestError as error:
+            slot = self._pipeline.add(repeatable=True)
+            await self._spawn(self._reject_malformed, slot, error)
+            return False
+        if request is None:
+            return self._is_in_use(limits.idle_seconds)
+        read = self._server.read_call(request, self._connection.arrived_at)
+        slot = self._pipeline.add(
+            repeatable=read.may_overlap, size=len(request.body)
         )
+        self._server.open_calls += 1
+        await self._spawn(self._serve_call, slot, read)
+        if self._server.stop is not None:
+            self._connection.close_after_response()
+        return self._connection.is_reusable
+
+    def _is_in_use(self, idle_seconds: float) -> bool:
+        """Returns whether to go on reading after nothing was read."""
+        connection = self._connection
+        if self._broken or connection.caller_left:
+            return False
+        if not connection.is_reusable:
+            return False
+        return len(self._pipeline) > 0 or (
+            time.monotonic() < connection.used_at + idle_seconds
+        )
+
+    async def _spawn(self, run, slot: pipelines.Slot, *args: object) -> None:
+        task = await curio.spawn(self._run_call, run, slot, args, daemon=True)
+        self._tasks.add(task)
+
+    async def _run_call(self, run, slot: pipelines.Slot, args: tuple) -> None:
+        """Runs the task of a call; a failure ends the connection.
+
+        Otherwise, the answer to the next call would be taken for the answer to
+        this one.
+        """
+        try:
+            await run(slot, *args)
+        except http.CallerGoneError:
+            self._shared.metrics.incr("caller_left")
+            await self._break_off()
+        except Exception as error:
+            self._shared.metrics.incr("internal_error")
+            self._shared.events.write_state("fault", error=repr(error))
+            await self._break_off()
+        finally:
+            await self._pipeline.finish(slot)
+            self._tasks.discard(await curio.current_task())
+
+    async def _break_off(self) -> None:
+        self._broken = True
+        await self._connection.shut_down()
+
+    async def _serve_call(self, slot: pipelines.Slot, read: _ReadCall) -> None:
+        try:
+            decided = self._server.decide(read)
+            attempts: list[dict[str, object]] = []
+            if isinstance(decided, forwarding.Exchange):
+                final = await self._run_exchange(slot, decided)
+                attempts = decided.attempts
+            else:
+                final = decided
+            await slot.settled.set()
+            if final is None:
+                return
+            self._server.log_answer(read, final, attempts)
+            await self._send(
+                slot, self._server.write_answer(read.call.id, final)
+            )
+        finally:
+            self._server.open_calls -= 1
+
+    async def _run_exchange(
+        self, slot: pipelines.Slot, exchange: forwarding.Exchange
+    ) -> forwarding.FinalAnswer | None:
+        self._exchanges.add(exchange)
+        try:
+            for earlier in self._pipeline.blocking(slot):
+                try:
+                    async with core.timeout_at(exchange.answer_by):
+                        await earlier.settled.wait()
+                except curio.TaskTimeout:
+                    return forwarding.refuse_not_run(
+                        admission.Refusal.TIMED_OUT, None
+                    )
+            return await exchange.run()
+        finally:
+            self._exchanges.discard(exchange)
+
+    async def _reject_malformed(
+        self, slot: pipelines.Slot, error: http.HttpError
+    ) -> None:
+        self._shared.metrics.incr(f"refused:{error.code}")
+        self._shared.events.write(
+            "refused", request="", reason=error.code, detail=str(error)
+        )
+        final = forwarding.FinalAnswer(
+            response=None,
+            status=error.status,
+            refusal=admission.Refusal.MALFORMED,
+        )
+        await self._send(slot, self._server.write_answer("", final))
+
+    async def _send(
+        self, slot: pipelines.Slot, response: http.Response
+    ) -> None:
+        await slot.wait_for_turn()
+        if self._broken:
+            return
+        if self._server.stop is not None:
+            self._connection.close_after_response()
+        await self._connection.send_response(response)
+
+    async def _finish_calls(self, newest: pipelines.Slot) -> None:
+        """Waits for the open calls after the last one was read."""
+        watch = await curio.spawn(self._watch_caller, daemon=True)
+        await newest.answered.wait()
+        await watch.cancel()
+
+    async def _watch_caller(self) -> None:
+        await self._connection.wait_for_caller_disconnect()
+        await self._abandon()
+
+    async def _abandon(self) -> None:
+        """Ends the open calls of a caller that has left."""
+        self._broken = True
+        for exchange in tuple(self._exchanges):
+            await exchange.abandon()
+        newest = self._pipeline.newest
+        if newest is not None:
+            await newest.answered.wait()
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -158,6 +158,7 @@
         self._tasks: list[curio.Task] = []
         self._hedge_at: float | None = None
         self._ended = False
+        self._abandoned = False
 
     @property
     def attempts(self) -> list[dict[str, object]]:
@@ -174,12 +175,17 @@
             for attempt in self._attempts
         ]
 
-    async def run(
-        self, connection: http.ServerConnection
-    ) -> FinalAnswer | None:
+    @property
+    def answer_by(self) -> float:
+        """Deadline of the answer, in monotonic seconds."""
+        return self._answer_by
+
+    async def run(self) -> FinalAnswer | None:
         """Returns the final answer, or None if the caller left."""
+        if self._abandoned:
+            self._log_caller_left()
+            return None
         self._shared.budget(self._service.name).record_call(self._started_at)
-        watch = await curio.spawn(self._watch_caller, connection, daemon=True)
         try:
             await self._start_attempt()
             return await self._finish()
@@ -187,12 +193,12 @@
             # Attempts run on until they are cancelled; this keeps them from
             # sending.
             self._ended = True
-            await watch.cancel()
             for task in self._tasks:
                 await task.cancel()
 
-    async def _watch_caller(self, connection: http.ServerConnection) -> None:
-        await connection.wait_for_caller_disconnect()
+    async def abandon(self) -> None:
+        """Ends the call because its caller has left."""
+        self._abandoned = True
         await self._events.put(_WakeReason.CALLER_LEFT)
 
     async def _start_attempt(self) -> None:
--- a/libs/direct/tests/test_forwarding.py
+++ b/libs/direct/tests/test_forwarding.py
@@ -38,13 +38,6 @@
         return http.Response(status=200)
 
 
-class Caller:
-    """A caller that does not leave."""
-
-    async def wait_for_caller_disconnect(self):
-        await curio.sleep(60)
-
-
 class Pool:
     async def release(self, connection):
         self.released = connection
@@ -105,7 +98,7 @@
 
         exchange._attempt = send
         exchange._finish = give_up
-        final = await exchange.run(Caller())
+        final = await exchange.run()
         assert final.refusal is admission.Refusal.TIMED_OUT
         assert final.status == forwarding.NOT_RUN_STATUS
         assert not connection.sent
--- a/libs/http/src/banyandale_http/_server.py
+++ b/libs/http/src/banyandale_http/_server.py
@@ -1,5 +1,6 @@
 """Server side of one HTTP/1.1 connection."""
 
+import collections
 import socket
 import struct
 import time
@@ -22,16 +23,29 @@
 # Longest wait for more data of a request that has begun. `read_request` has
 # deadlines besides.
 RECEIVE_TIMEOUT_SECONDS = 5.0
-# Interval of checks whether a caller with a pipelined request has disconnected.
+# Interval of checks whether a caller with unread bytes has disconnected, and
+# whether a pipelined request may be told to continue.
 PIPELINE_POLL_SECONDS = 0.2
+CONTINUE_POLL_SECONDS = 0.01
+# After a response that ends the connection, requests that the caller has sent
+# in the meantime are read and dropped up to these limits. Closing a socket with
+# unread bytes resets it, and the caller may then lose the response.
+LINGER_SECONDS = 1.0
+LINGER_BYTES = 256 * 1024
 
 
 class ServerConnection:
     """One connection from a caller: reads requests and sends responses.
 
+    Further requests may be read before the earlier ones are answered. Responses
+    are sent in the order of the requests.
+
     Attributes:
         used_at: Monotonic seconds when the connection was opened, or last
             received the head of a request or sent data.
+        arrived_at: Monotonic seconds when the last request that was read had
+            arrived.
+        caller_left: Whether reading has found the connection closed.
     """
 
     def __init__(
@@ -45,11 +59,29 @@
         """
         sockets.set_options(sock)
         self._sock = sock
-        self._http = h11.Connection(
-            our_role=h11.SERVER, max_incomplete_event_size=max_head_bytes
+        self._max_head_bytes = max_head_bytes
+        # Parses the next request. Each request has an h11 connection of its
+        # own, since h11 parses none before the previous one is answered.
+        self._http = self._make_parser()
+        # Requests that were read and not answered, oldest first.
+        self._unanswered: collections.deque[h11.Connection] = (
+            collections.deque()
         )
+        self._received_at = time.monotonic()
+        # Whether the last request that is read ends the connection, whether no
+        # request may follow the last one that was read, and whether the
+        # response that ends the connection was sent.
         self._closing = False
-        self.used_at = time.monotonic()
+        self._is_final = False
+        self._ended = False
+        self.used_at = self._received_at
+        self.arrived_at = self._received_at
+        self.caller_left = False
+
+    def _make_parser(self) -> h11.Connection:
+        return h11.Connection(
+            our_role=h11.SERVER, max_incomplete_event_size=self._max_head_bytes
+        )
 
     async def read_request(
         self,
@@ -69,23 +101,68 @@
 
         Returns:
             The request, or None when the caller closed the connection or
-            sent nothing in time.
+            sent nothing in time, or when no further request is read because a
+            response has ended the connection.
 
         Raises:
             MalformedRequestError: The request is not valid HTTP.
             RequestTooLargeError: The body is larger than `limit`.
             RequestTimeoutError: The head or the body took too long.
         """
-        if self._http.our_state is h11.DONE:
-            self._http.start_next_cycle()
-        if head_seconds is not None:
-            return await self._read_with_head_timeout(
-                limit, idle_deadline, head_seconds
-            )
+        if not self._prepare_for_next_request():
+            return None
         try:
-            async with core.timeout_at(idle_deadline):
+            if head_seconds is None:
+                request = await self._read_until(limit, idle_deadline)
+            else:
+                request = await self._read_with_head_timeout(
+                    limit, idle_deadline, head_seconds
+                )
+        except errors.MalformedRequestError:
+            self._unanswered.append(self._http)
+            self._closing = self._is_final = True
+            raise
+        if request is None or self._ended:
+            return None
+        self._unanswered.append(self._http)
+        self.arrived_at = self._received_at
+        if self._http.their_state is not h11.DONE:
+            # The caller asked to close the connection or to change the
+            # protocol, or speaks HTTP/1.0.
+            self._closing = self._is_final = True
+        return request
+
+    def _prepare_for_next_request(self) -> bool:
+        """Returns whether another request may be read."""
+        if self._ended or self._is_final:
+            return False
+        if self._closing and self._unanswered:
+            return False
+        if self._http.their_state is h11.DONE:
+            trailing, at_end = self._http.trailing_data
+            self._http = self._make_parser()
+            if trailing:
+                self._http.receive_data(trailing)
+            if at_end:
+                self._receive_data(b"")
+        return True
+
+    def _receive_data(self, data: bytes) -> None:
+        self._received_at = time.monotonic()
+        if not data:
+            self.caller_left = True
+        self._http.receive_data(data)
+
+    async def _read_until(
+        self, limit: int, deadline: float
+    ) -> messages.Request | None:
+        try:
+            async with core.timeout_at(deadline):
                 return await self._read_request(limit)
-        except (OSError, curio.TaskTimeout):
+        except curio.TaskTimeout:
+            return None
+        except OSError:
+            self.caller_left = True
             return None
         except h11.RemoteProtocolError as error:
             raise errors.MalformedRequestError(
@@ -99,8 +176,11 @@
             if not self._http.trailing_data[0]:
                 async with core.timeout_at(idle_deadline):
                     data = await self._sock.recv(RECEIVE_BYTES)
-                self._http.receive_data(data)
-        except (OSError, curio.TaskTimeout):
+                self._receive_data(data)
+        except curio.TaskTimeout:
+            return None
+        except OSError:
+            self.caller_left = True
             return None
         head_deadline = time.monotonic() + head_seconds
         try:
@@ -112,6 +192,7 @@
                 "the request did not arrive in time"
             ) from error
         except OSError:
+            self.caller_left = True
             return None
         except h11.RemoteProtocolError as error:
             if self._http.trailing_data[1]:
@@ -133,9 +214,11 @@
         chunks = []
         size = 0
         if self._http.they_are_waiting_for_100_continue:
-            await self._send(
-                h11.InformationalResponse(status_code=100, headers=[])
-            )
+            # Responses to earlier requests go first.
+            while self._unanswered:
+                await curio.sleep(CONTINUE_POLL_SECONDS)
+            event = h11.InformationalResponse(status_code=100, headers=[])
+            await self._send_bytes(self._http.send(event) or b"")
         while isinstance(event := await self._next_event(), h11.Data):
             size += len(event.data)
             if size > limit:
@@ -152,7 +235,7 @@
 
     async def _next_event(self) -> h11.Event:
         while (event := self._http.next_event()) is h11.NEED_DATA:
-            self._http.receive_data(await self._receive())
+            self._receive_data(await self._receive())
         return event
 
     async def _receive(self) -> bytes:
@@ -175,13 +258,21 @@
     @property
     def is_reusable(self) -> bool:
         """Whether another request may follow on this connection."""
-        return not self._closing and self._http.our_state in (
-            h11.IDLE,
-            h11.DONE,
+        return not (self._closing or self._ended or self._is_sending)
+
+    @property
+    def _is_sending(self) -> bool:
+        """Whether a response is incomplete."""
+        return bool(self._unanswered) and (
+            self._unanswered[0].our_state is h11.SEND_BODY
         )
 
     def close_after_response(self) -> None:
-        """Sends `Connection: close` with the next response."""
+        """Ends the connection with the next response.
+
+        If requests are unanswered, no more are read, and the response to the
+        last of them has `Connection: close`.
+        """
         self._closing = True
 
     async def wait_for_caller_disconnect(self) -> None:
@@ -205,7 +296,7 @@
         return sockets.peek(self._sock) == b""
 
     async def send_response(self, response: messages.Response) -> None:
-        """Sends a complete response.
+        """Sends a complete response to the oldest unanswered request.
 
         The response must have neither connection headers nor `content-length`.
 
@@ -218,8 +309,8 @@
             headers.append((b"content-length", length))
         data = self._encode_head(response.status, headers)
         if response.body:
-            data += self._http.send(h11.Data(data=response.body)) or b""
-        data += self._http.send(h11.EndOfMessage()) or b""
+            data += self._encode(h11.Data(data=response.body))
+        data += self._encode_end()
         await self._send_bytes(data)
 
     async def start_response(self, head: messages.ResponseHead) -> None:
@@ -238,22 +329,33 @@
 
     async def send_chunk(self, data: bytes) -> None:
         """Sends a chunk of a streamed response."""
-        await self._send(h11.Data(data=data))
+        await self._send_bytes(self._encode(h11.Data(data=data)))
 
     async def end_response(self) -> None:
         """Ends a streamed response."""
-        await self._send(h11.EndOfMessage())
+        await self._send_bytes(self._encode_end())
 
     def _encode_head(
         self, status: int, headers: list[tuple[bytes, bytes]]
     ) -> bytes:
-        if self._closing or self._http.our_state is h11.IDLE:
+        is_last = len(self._unanswered) <= 1
+        if self._closing and is_last:
             headers = [*headers, (b"connection", b"close")]
         event = h11.Response(status_code=status, headers=headers)
-        return self._http.send(event) or b""
+        return self._encode(event)
 
-    async def _send(self, event: h11.Event) -> None:
-        await self._send_bytes(self._http.send(event) or b"")
+    def _encode(self, event: h11.Event) -> bytes:
+        if not self._unanswered:
+            # A response to a caller that has sent nothing.
+            self._unanswered.append(self._http)
+        return self._unanswered[0].send(event) or b""
+
+    def _encode_end(self) -> bytes:
+        data = self._encode(h11.EndOfMessage())
+        answered = self._unanswered.popleft()
+        if answered.our_state is not h11.DONE:
+            self._ended = True
+        return data
 
     async def _send_bytes(self, data: bytes) -> None:
         try:
@@ -269,6 +371,14 @@
                 str(error), run=core.RunMark.UNKNOWN
             ) from error
 
+    async def shut_down(self) -> None:
+        """Ends both directions; a task that reads finds the caller gone."""
+        try:
+            await self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The caller has reset the connection.
+            self.caller_left = True
+
     async def abort(self) -> None:
         """Resets the connection, so that the caller sees an error.
 
@@ -281,7 +391,24 @@
 
     async def close(self) -> None:
         """Closes the connection; resets it if a response is incomplete."""
-        if self._http.our_state is h11.SEND_BODY:
+        if self._is_sending:
             await self.abort()
-        else:
-            await self._sock.close()
+            return
+        if self._ended and not self.caller_left:
+            await self._linger()
+        await self._sock.close()
+
+    async def _linger(self) -> None:
+        """Drops what the caller still sends until it closes its side."""
+        left = LINGER_BYTES
+        try:
+            await self._sock.shutdown(socket.SHUT_WR)
+            async with core.timeout_at(time.monotonic() + LINGER_SECONDS):
+                while left > 0:
+                    data = await self._sock.recv(RECEIVE_BYTES)
+                    if not data:
+                        return
+                    left -= len(data)
+        except (OSError, curio.TaskTimeout):
+            # The caller has its response or is gone; the socket is closed next.
+            return
--- a/libs/http/tests/test_own_responses.py
+++ b/libs/http/tests/test_own_responses.py
@@ -174,3 +174,64 @@
             await task.join()
 
     serve_caller(use)
+
+
+def test_responses_go_to_the_oldest_unanswered_request():
+    """Guards against the response of one request sent for another."""
+
+    async def use(connection, caller):
+        await caller.sendall(
+            b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n"
+            b"GET /b HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n"
+            b"GET /c HTTP/1.1\r\nhost: h\r\n\r\n"
+        )
+        assert (await read(connection)).target == b"/a"
+        assert (await read(connection)).target == b"/b"
+        assert await read(connection) is None
+        assert not connection.caller_left
+        await connection.send_response(http.Response(status=200))
+        await connection.send_response(http.Response(status=204))
+        data = await caller.recv(4096)
+        first, second = data.split(b"HTTP/1.1 ")[1:]
+        assert first.startswith(b"200")
+        assert b"close" not in first
+        assert second.startswith(b"204")
+        assert b"connection: close" in second.lower()
+
+    serve_caller(use)
+
+
+def test_unread_requests_do_not_reset_the_last_response():
+    """Guards against a caller that loses its response to a reset."""
+
+    async def use(connection, caller):
+        await caller.sendall(b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n")
+        assert (await read(connection)).target == b"/a"
+        await caller.sendall(b"GET /b HTTP/1.1\r\nhost: h\r\n\r\n")
+        connection.close_after_response()
+        await connection.send_response(
+            http.Response(status=200, body=b"x" * 500_000)
+        )
+        closing = await curio.spawn(connection.close)
+        size = 0
+        while data := await caller.recv(65536):
+            size += len(data)
+            await curio.sleep(0.01)
+        assert size > 500_000
+        await caller.close()
+        await closing.join()
+
+    serve_caller(use)
+
+
+def test_a_drained_connection_still_answers_its_next_request():
+    """Guards against a request cut off on a connection just accepted."""
+
+    async def use(connection, caller):
+        connection.close_after_response()
+        await caller.sendall(b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n")
+        assert (await read(connection)).target == b"/a"
+        await connection.send_response(http.Response(status=200))
+        assert b"connection: close" in (await caller.recv(4096)).lower()
+
+    serve_caller(use)
