http: bound responses without end in size and time

Cause: the client checked its deadline only where it had to wait for data, and gave way to other tasks only there. A server that sends chunks of one byte without end held the whole process for 16 s (deadline 0.5 s), and each byte of the body cost an object; informational responses were unbounded.

Change: the deadline is checked before every receive, other tasks run after 64 events, at most 16 informational responses are skipped, and a body is collected in one buffer.

--- a/libs/http/src/banyandale_http/_client.py
+++ b/libs/http/src/banyandale_http/_client.py
@@ -18,6 +18,11 @@
 MAX_HEAD_BYTES = 65536
 # Maximum number of responses to other requests that one exchange skips.
 MAX_UNMATCHED_RESPONSES = 3
+# Maximum number of informational responses before the final one.
+MAX_INFORMATIONAL_RESPONSES = 16
+# Number of events after which the other tasks run. A server that sends chunks
+# of one byte fills a buffer with thousands of events.
+EVENTS_PER_TURN = 64
 
 
 class ClientConnection:
@@ -44,6 +49,7 @@
         self._method = b""
         self._head: h11.Request | None = None
         self._allow_unframed = False
+        self._event_count = 0
         self.sent = False
         self.last_verified_at = time.monotonic()
 
@@ -256,7 +262,16 @@
                 body could not be detected.
         """
         event = await self._next_event(deadline)
+        informational = 0
         while isinstance(event, h11.InformationalResponse):
+            informational += 1
+            if informational > MAX_INFORMATIONAL_RESPONSES:
+                self._open = False
+                raise errors.MalformedResponseError(
+                    f"{self._address}: more than {MAX_INFORMATIONAL_RESPONSES}"
+                    " informational responses",
+                    run=self._run_mark(),
+                )
             event = await self._next_event(deadline)
         if not isinstance(event, h11.Response):
             raise errors.TruncatedResponseError(
@@ -318,17 +333,16 @@
             ResponseTooLargeError: The body is larger than `limit` bytes.
             HttpError: As for `read_chunk`.
         """
-        chunks = []
-        size = 0
+        body = bytearray()
         while chunk := await self.read_chunk(deadline=deadline):
-            size += len(chunk)
-            if size > limit:
+            body += chunk
+            if len(body) > limit:
+                self._open = False
                 raise errors.ResponseTooLargeError(
                     f"{self._address}: response body exceeds {limit} bytes",
                     run=core.RunMark.UNKNOWN,
                 )
-            chunks.append(chunk)
-        return b"".join(chunks)
+        return bytes(body)
 
     async def exchange(
         self, request: messages.Request, *, limit: int, deadline: float
@@ -348,22 +362,22 @@
         )
 
     async def _next_event(self, deadline: float) -> h11.Event:
+        self._event_count += 1
+        if self._event_count % EVENTS_PER_TURN == 0:
+            await curio.sleep(0)
+            if time.monotonic() >= deadline:
+                raise self._make_timeout_error()
         try:
-            while True:
-                event = self._http.next_event()
-                if event is h11.NEED_DATA:
-                    data = await sockets.receive(
-                        self._sock, limit=RECEIVE_BYTES, deadline=deadline
-                    )
-                    self._http.receive_data(data)
-                    continue
-                return event
+            while (event := self._http.next_event()) is h11.NEED_DATA:
+                if time.monotonic() >= deadline:
+                    raise self._make_timeout_error()
+                data = await sockets.receive(
+                    self._sock, limit=RECEIVE_BYTES, deadline=deadline
+                )
+                self._http.receive_data(data)
+            return event
         except curio.TaskTimeout as error:
-            self._open = False
-            raise errors.ResponseTimeoutError(
-                f"{self._address}: no complete response before the deadline",
-                run=self._run_mark(),
-            ) from error
+            raise self._make_timeout_error() from error
         except OSError as error:
             self._open = False
             raise errors.TruncatedResponseError(
@@ -373,6 +387,13 @@
             self._open = False
             raise self._make_protocol_error(error) from error
 
+    def _make_timeout_error(self) -> errors.HttpError:
+        self._open = False
+        return errors.ResponseTimeoutError(
+            f"{self._address}: no complete response before the deadline",
+            run=self._run_mark(),
+        )
+
     def _make_protocol_error(
         self, error: h11.RemoteProtocolError
     ) -> errors.HttpError:
