direct: share a watch between changes in quick succession

Change: two watches of a kind start at least 0.25 s apart. The tightest bound, 2 s until a server that leaves gets nothing more, leaves room for it.

--- a/libs/direct/src/banyandale_direct/_replication.py
+++ b/libs/direct/src/banyandale_direct/_replication.py
@@ -23,6 +23,9 @@
 # Duration of one watch. With the timeout of a call added, a watch on a
 # connection that went silent ends within the required three seconds.
 WATCH_SECONDS = 1.5
+# Shortest interval between the starts of two watches of a kind. Hundreds of
+# servers that register one after the other would otherwise cost a call each.
+MIN_WATCH_INTERVAL_SECONDS = 0.25
 # Pauses after failed calls double from the first to the longest, each
 # multiplied by a random factor from 0.5 to 1. The first two gateways of a zone
 # retry more often than the rest, since each call is paid for.
@@ -94,6 +97,8 @@
         self._fetching: set[str] = set()
         # Kinds whose watch expired, so that they must be listed again.
         self._expired: set[str] = set()
+        # Monotonic time from which the next watch of a kind may start.
+        self._watch_at: dict[str, float] = {}
         self._store_answers = True
         self._answered_at = 0.0
         self._pause = FIRST_PAUSE_SECONDS
@@ -173,6 +178,10 @@
                 self._on_listing(replica.kind, listing.objects, listing.version)
                 await self.gossip.notify_zone(remote=True)
             return
+        now = time.monotonic()
+        watch_at = max(now, self._watch_at.get(replica.kind, 0.0))
+        self._watch_at[replica.kind] = watch_at + MIN_WATCH_INTERVAL_SECONDS
+        await curio.sleep(watch_at - now)
         self._metrics.incr(f"store_calls:watch.{replica.kind}")
         since = replica.version
         changes = await self._store.watch(
