adapter: require the request's id in the answer of a call

Cause: a response without X-Request-Id was taken for the answer of whatever call used the connection. A second copy of an answer that arrives late without its id would be another caller's answer, and a late 503 with X-Not-Executed would tell a caller that a deposit had not run while it did.

Change: such a response is invalid. Its connection is closed, since the real answer may follow; the call is repeated if it may be, else it ends as outcome_unknown.

--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -434,9 +434,13 @@
             # Closing the connection makes the server cancel the call.
             await pool.discard(connection)
             raise
-        await pool.release(connection)
-        attempt.kind = self._shared.codec.read_answer(response)
+        attempt.kind = self._shared.codec.read_answer(self._call, response)
         attempt.response = response
+        if attempt.kind is protocols.AnswerKind.INVALID:
+            # The response to this call may still arrive.
+            await pool.discard(connection)
+        else:
+            await pool.release(connection)
         if attempt.kind in NOT_RUN_KINDS:
             attempt.run = core.RunMark.NOT_RUN
 
--- a/libs/direct/src/banyandale_direct/_protocols.py
+++ b/libs/direct/src/banyandale_direct/_protocols.py
@@ -104,10 +104,10 @@
         """Writes the request for a server."""
 
     def matches_call(self, call: Call, head: http.ResponseHead) -> bool:
-        """Whether a response belongs to the call."""
+        """Whether a response may belong to the call."""
 
-    def read_answer(self, response: http.Response) -> AnswerKind:
-        """Classifies a complete response."""
+    def read_answer(self, call: Call, response: http.Response) -> AnswerKind:
+        """Classifies a complete response to a call."""
 
     def write_probe(self, service: configuration.Service) -> http.Request:
         """Writes the request for a load report."""
--- a/libs/direct/tests/test_forwarding.py
+++ b/libs/direct/tests/test_forwarding.py
@@ -51,7 +51,7 @@
         registry=types.SimpleNamespace(is_usable=lambda server_id: True),
         codec=types.SimpleNamespace(
             write_call=lambda *_, **__: None,
-            read_answer=lambda response: protocols.AnswerKind.SERVED,
+            read_answer=lambda call, response: protocols.AnswerKind.SERVED,
         ),
         budget=lambda service: types.SimpleNamespace(
             record_call=lambda now: None
--- a/tests/adapter/standin.py
+++ b/tests/adapter/standin.py
@@ -230,7 +230,11 @@
         expected = request.header(b"x-expect-instance")
         if expected not in (None, self.id.encode()):
             return make_response(
-                421, headers=((b"x-instance-id", self.id.encode()),)
+                421,
+                headers=(
+                    (b"x-instance-id", self.id.encode()),
+                    (b"x-request-id", request_id),
+                ),
             )
         response = self.override_response(request)
         if response is not None:
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -83,7 +83,11 @@
         def shed(request):
             shed_ids.append(request.header(b"x-request-id"))
             return standin.make_response(
-                503, headers=((b"x-not-executed", b"1"),)
+                503,
+                headers=(
+                    (b"x-not-executed", b"1"),
+                    (b"x-request-id", shed_ids[-1]),
+                ),
             )
 
         shed_ids = []
--- a/tests/adapter/test_servers.py
+++ b/tests/adapter/test_servers.py
@@ -57,9 +57,24 @@
     was not executed.
     """
     response = http.Response(
-        status=status, headers=tuple((name, b"1") for name in headers)
+        status=status,
+        headers=((b"x-request-id", b"ab"), *((name, b"1") for name in headers)),
     )
-    assert CODEC.read_answer(response) is kind
+    assert CODEC.read_answer(make_call(), response) is kind
+
+
+@pytest.mark.parametrize("status", [200, 421, 500, 503])
+def test_a_response_without_the_id_proves_nothing(status):
+    """Guards against a late copy for an earlier request.
+
+    Taken for the answer, it would be another caller's, or state that a call
+    that runs was not executed.
+    """
+    response = http.Response(
+        status=status,
+        headers=((b"x-response-seal", b"1"), (b"x-not-executed", b"1")),
+    )
+    assert CODEC.read_answer(make_call(), response) is KIND.INVALID
 
 
 def test_responses_to_other_requests_do_not_match():
