direct: limit the memory of all answers of a process

Cause: an answer was limited to 64 MiB and their number not at all. Twelve calls to two servers that send a body without end took a gateway to 613 MB; the smallest VM has 200 MB, and the process ends there.

Ruled out: the limit of one answer alone, since calls add up.

What is over ends as response_too_large, may have run, and is repeated where that is allowed.

--- a/libs/direct/src/banyandale_direct/_calls.py
+++ b/libs/direct/src/banyandale_direct/_calls.py
@@ -322,12 +322,14 @@
         await self._connection.shut_down()
 
     async def _serve_call(self, slot: pipelines.Slot, read: _ReadCall) -> None:
+        exchange = None
         try:
             decided = self._server.decide(read)
             attempts: list[dict[str, object]] = []
             if isinstance(decided, forwarding.Exchange):
-                final = await self._run_exchange(slot, decided)
-                attempts = decided.attempts
+                exchange = decided
+                final = await self._run_exchange(slot, exchange)
+                attempts = exchange.attempts
             else:
                 final = decided
             await slot.settled.set()
@@ -339,6 +341,8 @@
             )
         finally:
             self._server.open_calls -= 1
+            if exchange is not None:
+                exchange.release_memory()
 
     async def _run_exchange(
         self, slot: pipelines.Slot, exchange: forwarding.Exchange
--- a/libs/direct/src/banyandale_direct/_context.py
+++ b/libs/direct/src/banyandale_direct/_context.py
@@ -9,6 +9,7 @@
 from banyandale_direct import _cold_limits as cold_limits
 from banyandale_direct import _demands as demands
 from banyandale_direct import _members as members
+from banyandale_direct import _memory as memory
 from banyandale_direct import _protocols as protocols
 from banyandale_direct import _registry as registry
 from banyandale_direct import _server_health as server_health
@@ -31,6 +32,9 @@
     metrics: core.Metrics
     events: core.EventLog
     random: random.Random
+    answer_memory: memory.AnswerMemory = dataclasses.field(
+        default_factory=memory.AnswerMemory
+    )
     repeat_budgets: dict[str, budgets.RepeatBudget] = dataclasses.field(
         default_factory=dict
     )
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -16,14 +16,13 @@
 from banyandale_direct import _configuration as configuration
 from banyandale_direct import _context as context
 from banyandale_direct import _hedging as hedging
+from banyandale_direct import _memory as memory
 from banyandale_direct import _placement as placement
 from banyandale_direct import _protocols as protocols
 from banyandale_direct import _selection as selection
 from banyandale_direct import _server_health as server_health
 import banyandale_http as http
 
-# Maximum size of a server's answer.
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
 # Additional attempts of a call that ended before anything was sent, because the
 # chosen server left or refused the connection.
 UNSENT_ATTEMPTS = 2
@@ -159,6 +158,7 @@
         self._hedge_at: float | None = None
         self._ended = False
         self._abandoned = False
+        self._reserved_bytes = 0
 
     @property
     def attempts(self) -> list[dict[str, object]]:
@@ -201,6 +201,17 @@
         self._abandoned = True
         await self._events.put(_WakeReason.CALLER_LEFT)
 
+    def _reserve_memory(self, size: int) -> bool:
+        reserved = self._shared.answer_memory.try_reserve(size)
+        if reserved:
+            self._reserved_bytes += size
+        return reserved
+
+    def release_memory(self) -> None:
+        """Returns the memory of the answers, which must not be used later."""
+        self._shared.answer_memory.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+
     async def _start_attempt(self) -> None:
         attempt = _Attempt()
         self._attempts.append(attempt)
@@ -422,8 +433,9 @@
             response = await connection.exchange_matching(
                 request,
                 matches=self._is_own,
-                limit=MAX_ANSWER_BYTES,
+                limit=memory.MAX_ANSWER_BYTES,
                 deadline=self._answer_by,
+                reserve=self._reserve_memory,
             )
         except http.HttpError as error:
             attempt.error = error.code
--- a/libs/http/src/banyandale_http/_client.py
+++ b/libs/http/src/banyandale_http/_client.py
@@ -164,6 +164,7 @@
         matches: Callable[[messages.ResponseHead], bool],
         limit: int,
         deadline: float,
+        reserve: Callable[[int], bool] = lambda size: True,
     ) -> messages.Response:
         """Sends a request and reads the whole response that matches it.
 
@@ -172,6 +173,14 @@
         before the whole request is sent, the connection is not reused. The
         body of a response without a length ends with the connection.
 
+        Args:
+            request: The request.
+            matches: Returns whether a response may belong to the request.
+            limit: Largest body in bytes.
+            deadline: Monotonic seconds for the whole exchange.
+            reserve: Called with the size of each received part of a body;
+                returns whether there is memory for it.
+
         Raises:
             HttpError: As for `exchange`.
         """
@@ -185,7 +194,9 @@
             await curio.sleep(0)
             if sending.terminated:
                 await sending.join()
-            return await self._read_matching(request, matches, limit, deadline)
+            return await self._read_matching(
+                request, matches, limit, deadline, reserve
+            )
         except curio.TaskError as error:
             self._open = False
             if isinstance(error.__cause__, errors.HttpError):
@@ -204,10 +215,13 @@
         matches: Callable[[messages.ResponseHead], bool],
         limit: int,
         deadline: float,
+        reserve: Callable[[int], bool],
     ) -> messages.Response:
         for _ in range(MAX_UNMATCHED_RESPONSES + 1):
             head = await self.read_head(deadline=deadline)
-            body = await self.read_body(limit=limit, deadline=deadline)
+            body = await self.read_body(
+                limit=limit, deadline=deadline, reserve=reserve
+            )
             if matches(head):
                 return messages.Response(
                     status=head.status, headers=head.headers, body=body
@@ -326,22 +340,30 @@
             self._http.start_next_cycle()
             self.last_verified_at = time.monotonic()
 
-    async def read_body(self, *, limit: int, deadline: float) -> bytes:
+    async def read_body(
+        self,
+        *,
+        limit: int,
+        deadline: float,
+        reserve: Callable[[int], bool] = lambda size: True,
+    ) -> bytes:
         """Reads the rest of the body and returns it.
 
         Raises:
-            ResponseTooLargeError: The body is larger than `limit` bytes.
+            ResponseTooLargeError: The body is larger than `limit` bytes, or
+                `reserve` did not allow more.
             HttpError: As for `read_chunk`.
         """
         body = bytearray()
         while chunk := await self.read_chunk(deadline=deadline):
-            body += chunk
-            if len(body) > limit:
+            if len(body) + len(chunk) > limit or not reserve(len(chunk)):
                 self._open = False
                 raise errors.ResponseTooLargeError(
-                    f"{self._address}: response body exceeds {limit} bytes",
+                    f"{self._address}: response body exceeds {limit} bytes or"
+                    " the memory left",
                     run=core.RunMark.UNKNOWN,
                 )
+            body += chunk
         return bytes(body)
 
     async def exchange(
