--- a/libs/direct/tests/test_placement.py
+++ b/libs/direct/tests/test_placement.py
@@ -205,3 +205,41 @@
         assert not remote.local
         used |= {e.server.id for e in (*subset.entries, *remote.entries)}
     assert len(used) == 76
+
+
+def count_new_connections(*, calls_per_second):
+    """Simulates the probes of one gateway; returns new connections per call.
+
+    Servers close a connection that was idle for 10 s.
+    """
+    source = random.Random(5)
+    entries = [make_entry(f"i-{number}") for number in range(15)]
+    used_at = {}
+    now, calls, opened = 0.0, 0, 0
+    while now < 2000.0:
+        now += source.expovariate(calls_per_second)
+        calls += 1
+        first = placement.list_groups(
+            entries,
+            server_health.ServerHealthTable(),
+            gateway="10.0.0.1",
+            zone="a",
+            now=now,
+        )[0]
+        for entry in placement.draw_servers(first, random_source=source):
+            last = used_at.get(entry.server.id, -100.0)
+            opened += now - last > 10.0
+            used_at[entry.server.id] = now
+    return opened / calls
+
+
+def test_a_gateway_with_few_calls_keeps_its_connections(monkeypatch):
+    """Guards against a new connection for nearly every call.
+
+    In quiet-1 of the large site each of 312 gateways had a call to a service
+    every 1.3 to 10 s, and opened 14,703 connections for 15,154 calls with six
+    preferred servers.
+    """
+    few = count_new_connections(calls_per_second=0.33)
+    monkeypatch.setattr(placement, "SUBSET_SIZE", 6)
+    assert few < 0.5 * count_new_connections(calls_per_second=0.33)
