--- a/libs/direct/src/banyandale_direct/_placement.py
+++ b/libs/direct/src/banyandale_direct/_placement.py
@@ -19,9 +19,9 @@
 # Servers probed per group and call. More probes rarely find better servers and
 # cost processor time (0.6 ms per report).
 PROBES_PER_ROUND = 4
-# Number of preferred servers of a gateway, in the own zone and in all others. With
-# as many as are probed per round, a gateway with few calls keeps the connections
-# to them in use.
+# Number of preferred servers of a gateway, in the own zone and in all others.
+# With as many as are probed per round, a gateway with few calls keeps the
+# connections to them in use.
 SUBSET_SIZE = 4
 # A server on which more than this share of slots is taken slows down by this
 # factor (the users' site files: knee 0.8, factor 1.7).
