direct: send callers of a zone out of service to the other zones

Cause: a lookup named gateways of the caller's zone also while that zone's servers were out of service, so each call went to a gateway there and from it to another zone.

Ruled out: that the crossing calls are mostly calls that evade a slow server.

Change: while a zone is out of service, its callers get all gateways of the other zones of the region.

--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -231,6 +231,8 @@
         addresses = lookups.choose_addresses(
             self._table.live(now=time.monotonic()),
             zone=lookup.zone,
+            zones_out=self._registry.zones_out,
+            regions=self._settings.regions,
             port=http.parse_address(self._settings.call_address)[1],
             random_source=self._random,
         )
--- a/libs/direct/src/banyandale_direct/_lookups.py
+++ b/libs/direct/src/banyandale_direct/_lookups.py
@@ -5,8 +5,14 @@
 has enough live gateways, only those are returned, because traffic between zones
 is expensive. A caller whose zone has few also gets others, so that it has
 another address if one is lost.
+
+While the servers of a zone are out of service, its callers get the gateways of
+the other zones of its region: a gateway of their own zone would have to send each of their
+calls, and each answer, across zones once more.
 """
 
+from collections.abc import Collection
+from collections.abc import Mapping
 from collections.abc import Sequence
 import random
 
@@ -38,6 +44,8 @@
     live: Sequence[members.Member],
     *,
     zone: str,
+    zones_out: Collection[str],
+    regions: Mapping[str, str],
     port: int,
     random_source: random.Random,
 ) -> list[str]:
@@ -46,13 +54,21 @@
     Args:
         live: Gateways that are alive.
         zone: Zone of the caller.
+        zones_out: Zones whose servers get no calls.
+        regions: Region of each zone.
         port: Port on which all gateways accept calls.
         random_source: Draws addresses when there are more than needed.
     """
     ready = [member for member in live if member.ready]
-    local = [f"{m.ip}:{port}" for m in ready if m.zone == zone]
+    serving = [m for m in ready if m.zone not in zones_out]
+    if zone in zones_out:
+        region = regions.get(zone)
+        preferred = [m for m in serving if regions.get(m.zone) == region]
+    else:
+        preferred = [m for m in serving if m.zone == zone]
+    local = [f"{m.ip}:{port}" for m in preferred]
     if len(local) < MIN_ADDRESSES:
-        others = [f"{m.ip}:{port}" for m in ready if m.zone != zone]
+        others = [f"{m.ip}:{port}" for m in ready if m not in preferred]
         count = min(MIN_ADDRESSES - len(local), len(others))
         local += random_source.sample(others, count)
     if len(local) > MAX_ADDRESSES:
--- a/libs/direct/tests/test_lookups.py
+++ b/libs/direct/tests/test_lookups.py
@@ -9,9 +9,14 @@
 from banyandale_direct import _stops as stops
 
 
-def choose(live, zone="a"):
+def choose(live, zone="a", zones_out=()):
     return lookups.choose_addresses(
-        live, zone=zone, port=80, random_source=random.Random(1)
+        live,
+        zone=zone,
+        zones_out=zones_out,
+        regions={"a": "r", "b": "r", "c": "r", "d": "q"},
+        port=80,
+        random_source=random.Random(1),
     )
 
 
@@ -67,3 +72,28 @@
         lookups.find_valid_seconds(serving_seconds=60.0, longest_seconds=5.0)
         == 5.0
     )
+
+
+def test_callers_of_a_zone_out_of_service_get_the_other_zones():
+    """Guards against calls and answers that cross zones twice.
+
+    On trouble-1 of the grown Lusong site, with one or two of three zones out
+    of service, 26 MB crossed zones (0.14 of the day's worth).
+    """
+    live = [make_member(n, "abc"[n % 3]) for n in range(9)]
+    live += [make_member(n, "d") for n in range(9, 12)]
+    by_zone = {
+        zone: {f"10.0.0.{n}:80" for n in range(9) if "abc"[n % 3] == zone}
+        for zone in "abc"
+    }
+    assert set(choose(live, "a", {"a"})) == by_zone["b"] | by_zone["c"]
+    assert set(choose(live, "b", {"a"})) == by_zone["b"]
+    assert set(choose(live, "a", {"a", "b"})) == by_zone["c"]
+
+
+def test_a_caller_gets_an_address_when_all_zones_are_out_of_service():
+    """Guards against lookups without an answer during an operator's mistake."""
+    live = [make_member(n, "ab"[n % 2]) for n in range(4)]
+    assert len(choose(live, "a", {"a", "b"})) == lookups.MIN_ADDRESSES
+    few = [make_member(1, "a"), make_member(2, "b")]
+    assert set(choose(few, "a", {"a"})) == {"10.0.0.1:80", "10.0.0.2:80"}
