--- a/libs/direct/src/banyandale_direct/_lookups.py
+++ b/libs/direct/src/banyandale_direct/_lookups.py
@@ -7,8 +7,8 @@
 another address if one is lost.
 
 While the servers of a zone are out of service, its callers get the gateways of
-the other zones of its region: a gateway of their own zone would have to send each of their
-calls, and each answer, across zones once more.
+the other zones of its region: a gateway of their own zone would have to send
+each of their calls, and each answer, across zones once more.
 """
 
 from collections.abc import Collection
