gateway: keep cold servers without work while a stop waits for them

Cause: a stopping gateway forbids work for cold servers and waits until their requests end, but Router._try_local allowed it again with each call, since the lease is held until the hand-over. The hand-over could wait for its whole time.

Change: the table of homes knows that it is handing over and says whether a home may use cold servers; the router asks it. The new router test fails without the change.

--- a/libs/gateway/src/banyandale_gateway/_gateway.py
+++ b/libs/gateway/src/banyandale_gateway/_gateway.py
@@ -414,8 +414,7 @@
 
     async def _wait_for_cold_requests(self, until: float) -> None:
         """Waits for requests at cold servers before homes are handed over."""
-        for home in self._homes.homes():
-            home.dispatcher.allow_cold = False
+        self._homes.stop_cold_requests()
         while time.monotonic() < until and any(
             _has_cold_requests(home) for home in self._homes.homes()
         ):
--- a/libs/gateway/src/banyandale_gateway/_homes.py
+++ b/libs/gateway/src/banyandale_gateway/_homes.py
@@ -90,6 +90,7 @@
         self._last_checked_at = clock.monotonic()
         self._homes: dict[tuple[str, str], Home] = {}
         self._by_service: dict[str, tuple[Home, ...]] = {}
+        self._handing_over = False
 
     def homes(self) -> tuple[Home, ...]:
         """Returns all homes."""
@@ -111,6 +112,16 @@
         self._check_for_pause()
         return self._ownership.holds(service=home.service, zone=home.zone)
 
+    def allows_cold(self, home: Home) -> bool:
+        """Whether servers of a home that are not known to be warm get work."""
+        return not self._handing_over and self.has_lease(home)
+
+    def stop_cold_requests(self) -> None:
+        """Sends nothing more to cold servers before homes are handed over."""
+        self._handing_over = True
+        for home in self._homes.values():
+            home.dispatcher.allow_cold = False
+
     def refresh(self, snapshot: config.Snapshot) -> None:
         """Updates the homes to match the configuration and the ownership.
 
@@ -230,6 +241,14 @@
         del home
         return True
 
+    def allows_cold(self, home: Home) -> bool:
+        """Returns true, because no home is ever handed over."""
+        del home
+        return True
+
+    def stop_cold_requests(self) -> None:
+        """Does nothing, because no home is ever handed over."""
+
     def refresh(self, snapshot: config.Snapshot) -> None:
         """Applies the configuration."""
         zones_changed = snapshot.zones != self._zones
--- a/libs/gateway/src/banyandale_gateway/_router.py
+++ b/libs/gateway/src/banyandale_gateway/_router.py
@@ -251,7 +251,7 @@
         self, call: calls.Call, home: homes.Home, state: _RoutingState
     ) -> calls.CallResponse:
         dispatcher = home.dispatcher
-        dispatcher.allow_cold = self._homes.has_lease(home)
+        dispatcher.allow_cold = self._homes.allows_cold(home)
         try:
             assignment = await dispatcher.acquire(
                 deadline=call.deadline,
--- a/libs/gateway/tests/test_homes.py
+++ b/libs/gateway/tests/test_homes.py
@@ -118,3 +118,14 @@
     table.vms.leaving = frozenset({"127.0.1.1"})
     table.refresh()
     assert table.dispatcher.try_acquire() is None
+
+
+def test_a_stopping_gateway_allows_no_cold_servers():
+    """Guards against cold servers that get work until the lease is gone."""
+    table = Table()
+    home = table.table.find("s", "a")
+    assert table.table.allows_cold(home)
+    table.table.stop_cold_requests()
+    assert not home.dispatcher.allow_cold
+    assert table.table.has_lease(home)
+    assert not table.table.allows_cold(home)
--- a/libs/gateway/tests/test_router.py
+++ b/libs/gateway/tests/test_router.py
@@ -55,6 +55,8 @@
 
 
 class HomeTable:
+    handing_over = False
+
     def __init__(self, *found):
         self.found = found
 
@@ -67,6 +69,9 @@
     def has_lease(self, home):
         return True
 
+    def allows_cold(self, home):
+        return not self.handing_over
+
 
 class Peers:
     def __init__(self, *found, error=None):
@@ -173,6 +178,20 @@
     assert len(home.dispatcher.excluded) == 1
 
 
+def test_a_call_during_a_stop_does_not_allow_cold_servers():
+    """Guards against cold requests that delay the hand-over of homes.
+
+    The gateway still holds the lease of its homes while it waits for their
+    requests at cold servers to end.
+    """
+    home = make_home()
+    built = build_router([home])
+    built._homes.handing_over = True
+    home.dispatcher.allow_cold = False
+    curio.run(built.route, make_call())
+    assert not home.dispatcher.allow_cold
+
+
 def test_forwarded_call_is_not_forwarded_again():
     """Guards against forwarding loops between gateways."""
     peers = Peers(make_remote_home("p", 0.0))
