--- a/libs/direct/src/banyandale_direct/_calls.py
+++ b/libs/direct/src/banyandale_direct/_calls.py
@@ -1,5 +1,7 @@
 """Serves callers' connections: reads calls and writes their answers."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 import time
 
@@ -294,11 +296,21 @@
             time.monotonic() < connection.used_at + idle_seconds
         )
 
-    async def _spawn(self, run, slot: pipelines.Slot, *args: object) -> None:
+    async def _spawn(
+        self,
+        run: Callable[..., Awaitable[None]],
+        slot: pipelines.Slot,
+        *args: object,
+    ) -> None:
         task = await curio.spawn(self._run_call, run, slot, args, daemon=True)
         self._tasks.add(task)
 
-    async def _run_call(self, run, slot: pipelines.Slot, args: tuple) -> None:
+    async def _run_call(
+        self,
+        run: Callable[..., Awaitable[None]],
+        slot: pipelines.Slot,
+        args: tuple[object, ...],
+    ) -> None:
         """Runs the task of a call; a failure ends the connection.
 
         Otherwise, the answer to the next call would be taken for the answer to
