direct: log the limits that servers name

The adapter reads the header, a table keeps what each server said last, and log and metrics show it; nothing is decided by it yet. A rejection without the header does not lift a limit, and a value that cannot be read leaves the last one in force.

--- a/libs/core/src/banyandale_core/__init__.py
+++ b/libs/core/src/banyandale_core/__init__.py
@@ -1,5 +1,6 @@
 """Errors, clocks, metrics and logging shared by all banyandale libraries."""
 
+from banyandale_core._clocks import boot_seconds
 from banyandale_core._clocks import Clock
 from banyandale_core._clocks import deadline_from_unix_ms
 from banyandale_core._clocks import deadline_to_unix_ms
@@ -31,6 +32,7 @@
     "SignalReceiver",
     "StatsdMetrics",
     "SystemClock",
+    "boot_seconds",
     "deadline_from_unix_ms",
     "deadline_to_unix_ms",
     "timeout_at",
--- a/libs/core/src/banyandale_core/_clocks.py
+++ b/libs/core/src/banyandale_core/_clocks.py
@@ -28,6 +28,11 @@
         return time.time()
 
 
+def boot_seconds() -> float:
+    """Returns seconds since the VM started, including those suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def deadline_to_unix_ms(deadline: float, clock: Clock) -> int:
     """Converts a monotonic deadline in seconds to Unix milliseconds."""
     remaining = deadline - clock.monotonic()
--- a/libs/direct/src/banyandale_direct/__init__.py
+++ b/libs/direct/src/banyandale_direct/__init__.py
@@ -20,6 +20,7 @@
 from banyandale_direct._protocols import Lookup
 from banyandale_direct._protocols import MalformedCallError
 from banyandale_direct._protocols import MalformedEntryError
+from banyandale_direct._protocols import MalformedLimitError
 from banyandale_direct._protocols import Platform
 from banyandale_direct._protocols import ServerCodec
 from banyandale_direct._protocols import StoreCodec
@@ -37,6 +38,7 @@
     "Lookup",
     "MalformedCallError",
     "MalformedEntryError",
+    "MalformedLimitError",
     "Member",
     "Platform",
     "Refusal",
--- a/libs/direct/src/banyandale_direct/_context.py
+++ b/libs/direct/src/banyandale_direct/_context.py
@@ -10,6 +10,7 @@
 from banyandale_direct import _demands as demands
 from banyandale_direct import _members as members
 from banyandale_direct import _memory as memory
+from banyandale_direct import _named_limits as named_limits
 from banyandale_direct import _protocols as protocols
 from banyandale_direct import _registry as registry
 from banyandale_direct import _server_health as server_health
@@ -25,6 +26,7 @@
     demands: demands.DemandTracker
     call_ages: demands.CallAgeTracker
     cold_limiter: cold_limits.ColdLimiter
+    named_limits: named_limits.NamedLimits
     channels: channels.Channels
     members: members.MemberTable
     settings: settings.Settings
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -17,8 +17,10 @@
 from banyandale_direct import _context as context
 from banyandale_direct import _hedging as hedging
 from banyandale_direct import _memory as memory
+from banyandale_direct import _named_limits as named_limits
 from banyandale_direct import _placement as placement
 from banyandale_direct import _protocols as protocols
+from banyandale_direct import _registry as registry
 from banyandale_direct import _selection as selection
 from banyandale_direct import _server_health as server_health
 import banyandale_http as http
@@ -37,6 +39,10 @@
         protocols.AnswerKind.MISDIRECTED,
     }
 )
+# Answers that may come from another server or belong to another call.
+UNSIGNED_KINDS = frozenset(
+    {protocols.AnswerKind.INVALID, protocols.AnswerKind.MISDIRECTED}
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -448,6 +454,7 @@
             raise
         attempt.kind = self._shared.codec.read_answer(self._call, response)
         attempt.response = response
+        self._record_limit(server, attempt)
         if attempt.kind is protocols.AnswerKind.INVALID:
             # The response to this call may still arrive.
             await pool.discard(connection)
@@ -456,6 +463,39 @@
         if attempt.kind in NOT_RUN_KINDS:
             attempt.run = core.RunMark.NOT_RUN
 
+    def _record_limit(self, server: registry.Server, attempt: _Attempt) -> None:
+        if attempt.kind in UNSIGNED_KINDS:
+            return
+        try:
+            limit = self._shared.codec.read_limit(attempt.response)
+        except protocols.MalformedLimitError as error:
+            self._shared.metrics.incr("limit_unreadable")
+            self._shared.events.write(
+                "limit_unreadable",
+                request=self._call.id,
+                server=server.id,
+                error=str(error),
+            )
+            return
+        if limit is None and attempt.kind in NOT_RUN_KINDS:
+            # A rejection may be sent before the server adds its limit.
+            return
+        notice = named_limits.Notice(
+            server_id=server.id,
+            started_unix_ms=server.started_unix_ms,
+            calls_per_second=limit,
+            said_at=core.boot_seconds(),
+        )
+        if self._shared.named_limits.record(notice):
+            self._shared.metrics.incr("limits_named")
+            self._shared.events.write_state(
+                "limit_named",
+                request=self._call.id,
+                server=server.id,
+                calls_per_second=limit,
+                source="answer",
+            )
+
     def _is_own(self, head: http.ResponseHead) -> bool:
         return self._shared.codec.matches_call(self._call, head)
 
@@ -519,5 +559,6 @@
             config_version=self._version,
             attempt=len(self._attempts),
             remaining=round(self._answer_by - now, 3),
+            limit=self._shared.named_limits.find(probe.candidate.entry.server),
             **probe.describe(now=now),
         )
--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -18,6 +18,7 @@
 from banyandale_direct import _gossip as gossip
 from banyandale_direct import _lookups as lookups
 from banyandale_direct import _members as members
+from banyandale_direct import _named_limits as named_limits
 from banyandale_direct import _protocols as protocols
 from banyandale_direct import _registration as registration
 from banyandale_direct import _registry as registry
@@ -82,6 +83,7 @@
             demands=demands.DemandTracker(),
             call_ages=demands.CallAgeTracker(),
             cold_limiter=cold_limits.ColdLimiter(),
+            named_limits=named_limits.NamedLimits(),
             channels=channels.Channels(
                 codec=adapter.servers, events=events, metrics=metrics
             ),
@@ -256,6 +258,9 @@
         self._metrics.gauge("open_calls", self._calls.open_calls)
         self._metrics.gauge("open_connections", self._calls.open_connections)
         self._metrics.gauge("log_lines_dropped", self._events.dropped)
+        self._metrics.gauge(
+            "limited_servers", self._shared.named_limits.count()
+        )
         return http.Response(
             status=200,
             headers=((b"content-type", b"text/plain; version=0.0.4"),),
@@ -271,6 +276,7 @@
             known = frozenset(addresses)
             self._shared.server_health.keep_only(known)
             self._shared.cold_limiter.keep_only(known)
+            self._shared.named_limits.keep_only(known)
             await self._shared.channels.keep_only(addresses)
 
     def _reload(self, cause: str) -> None:
--- a/libs/direct/src/banyandale_direct/_protocols.py
+++ b/libs/direct/src/banyandale_direct/_protocols.py
@@ -55,6 +55,10 @@
     INVALID = "invalid"
 
 
+class MalformedLimitError(ValueError):
+    """The limit that a server names cannot be parsed."""
+
+
 class MalformedCallError(ValueError):
     """A header of the request has an invalid value."""
 
@@ -109,6 +113,16 @@
     def read_answer(self, call: Call, response: http.Response) -> AnswerKind:
         """Classifies a complete response to a call."""
 
+    def read_limit(self, response: http.Response) -> float | None:
+        """Reads the calls per second that a server takes from all gateways.
+
+        Returns:
+            The limit, or None if the response names none.
+
+        Raises:
+            MalformedLimitError: The limit cannot be parsed.
+        """
+
     def write_probe(self, service: configuration.Service) -> http.Request:
         """Writes the request for a load report."""
 
--- a/tests/adapter/standin.py
+++ b/tests/adapter/standin.py
@@ -202,6 +202,7 @@
         healthy: Whether it responds with 200 to health checks.
         cancelled: Ids of the requests whose connection was closed during
             their execution.
+        limit: Requests per second that it names in its answers, or None.
     """
 
     def __init__(self, name):
@@ -215,6 +216,7 @@
         self.cold_ms = 0
         self.healthy = True
         self.cancelled = []
+        self.limit = None
 
     async def handle(self, request, sock):
         if request.target == b"/health":
@@ -253,9 +255,15 @@
             headers=(
                 (b"x-request-id", request_id),
                 (b"x-response-seal", b"seal"),
+                *self._name_limit(),
             ),
         )
 
+    def _name_limit(self):
+        if self.limit is None:
+            return ()
+        return ((b"server-limit", str(self.limit).encode()),)
+
     def make_entry(self, service, zone="a", state="ready", **fields):
         """Returns the entry that the server writes to the store."""
         return {
--- a/tests/adapter/test_servers.py
+++ b/tests/adapter/test_servers.py
@@ -37,6 +37,28 @@
     assert (request.target, request.body) == (b"/x/1?y=2", b"body")
 
 
+@pytest.mark.parametrize(
+    ("headers", "limit"),
+    [
+        ((), None),
+        (((b"server-limit", b"1.5"),), 1.5),
+        (((b"server-limit", b"0"),), 0.0),
+    ],
+)
+def test_the_limit_that_a_server_names_is_read(headers, limit):
+    """Guards against a limit that goes unnoticed."""
+    response = http.Response(status=200, headers=headers)
+    assert CODEC.read_limit(response) == limit
+
+
+@pytest.mark.parametrize("value", [b"", b"many", b"-1", b"nan", b"inf"])
+def test_an_unreadable_limit_is_not_taken_for_none(value):
+    """Guards against a malformed limit that lifts the one in force."""
+    response = http.Response(status=200, headers=((b"server-limit", value),))
+    with pytest.raises(direct.MalformedLimitError):
+        CODEC.read_limit(response)
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "kind"),
     [
