direct: share the limits that servers name among the gateways

Callers saw nothing at first; the servers in need did: after naming a limit of 1 request a second they got as many as before (12 and 14 in 4 s, 11 allowed).

The class: a promise over all gateways must be divided among them, over time, and a gateway that does not send must still learn when it ends.

Change: floor(limit) + 2 gateways of the server's zone share the limit by rendezvous hashing, each with a minimum interval; the others send nothing. A gateway counts as a sender only if all its views of the fleet agreed on it during the last interval, and never with a view older than 2 s (boot clock), so that starts, wakes and takeovers add nothing to recent sends of others. Where only limited servers are left, a call takes the next turn in order or is rejected at once.

--- a/libs/direct/src/banyandale_direct/_admission.py
+++ b/libs/direct/src/banyandale_direct/_admission.py
@@ -46,6 +46,7 @@
     NO_SERVER = "no_server"
     NO_ROOM = "no_room"
     COLD_LIMIT = "cold_limit"
+    SERVER_LIMIT = "server_limit"
     DEADLINE_TOO_CLOSE = "deadline_too_close"
     STOPPING = "stopping"
     TIMED_OUT = "timed_out"
--- a/libs/direct/src/banyandale_direct/_cold_limits.py
+++ b/libs/direct/src/banyandale_direct/_cold_limits.py
@@ -48,27 +48,3 @@
         if other != gateway and rendezvous.weigh(other, server_id) > own
     )
     return ahead < count
-
-
-class ColdLimiter:
-    """Rate limiter of this gateway's calls to cold servers."""
-
-    def __init__(self) -> None:
-        self._sent_at: dict[str, float] = {}
-
-    def next_send_at(self, server_id: str) -> float:
-        """Returns the monotonic time from which a server may get a call."""
-        sent_at = self._sent_at.get(server_id)
-        return 0.0 if sent_at is None else sent_at + INTERVAL_SECONDS
-
-    def try_send(self, server_id: str, *, now: float) -> bool:
-        """Records a send if the interval allows it; returns whether it does."""
-        if now < self.next_send_at(server_id):
-            return False
-        self._sent_at[server_id] = now
-        return True
-
-    def keep_only(self, server_ids: frozenset[str]) -> None:
-        """Removes servers that are gone."""
-        for server_id in self._sent_at.keys() - server_ids:
-            del self._sent_at[server_id]
--- a/libs/direct/src/banyandale_direct/_context.py
+++ b/libs/direct/src/banyandale_direct/_context.py
@@ -6,13 +6,13 @@
 import banyandale_core as core
 from banyandale_direct import _budgets as budgets
 from banyandale_direct import _channels as channels
-from banyandale_direct import _cold_limits as cold_limits
 from banyandale_direct import _demands as demands
 from banyandale_direct import _members as members
 from banyandale_direct import _memory as memory
 from banyandale_direct import _named_limits as named_limits
 from banyandale_direct import _protocols as protocols
 from banyandale_direct import _registry as registry
+from banyandale_direct import _senders as senders
 from banyandale_direct import _server_health as server_health
 from banyandale_direct import _settings as settings
 
@@ -25,7 +25,8 @@
     server_health: server_health.ServerHealthTable
     demands: demands.DemandTracker
     call_ages: demands.CallAgeTracker
-    cold_limiter: cold_limits.ColdLimiter
+    election: senders.SenderElection
+    send_times: senders.SendTimes
     named_limits: named_limits.NamedLimits
     channels: channels.Channels
     members: members.MemberTable
--- a/libs/direct/src/banyandale_direct/_digests.py
+++ b/libs/direct/src/banyandale_direct/_digests.py
@@ -2,11 +2,14 @@
 
 import dataclasses
 import importlib.resources
+import math
 import zlib
 
 import capnp
 
+import banyandale_core as core
 from banyandale_direct import _members as members
+from banyandale_direct import _named_limits as named_limits
 from banyandale_direct import _replicas as replicas
 import banyandale_platform as platform
 
@@ -40,6 +43,7 @@
         members: Gateways that the sender knows to be alive.
         held: Store version up to which the sender holds each kind.
         deltas: Changes that the sender has just received.
+        limits: What servers last said about their limits.
     """
 
     sender: str
@@ -47,6 +51,7 @@
     members: members.MemberBlock
     held: dict[str, int]
     deltas: tuple[replicas.Delta, ...] = ()
+    limits: tuple[named_limits.Notice, ...] = ()
 
 
 def _compress(message: object) -> bytes:
@@ -76,6 +81,15 @@
     deltas = message.init("deltas", len(digest.deltas))
     for entry, delta in zip(deltas, digest.deltas, strict=True):
         _fill_delta(entry, delta)
+    boot_now = core.boot_seconds()
+    limits = message.init("limits", len(digest.limits))
+    for entry, notice in zip(limits, digest.limits, strict=True):
+        entry.server = notice.server_id
+        entry.startedUnixMs = notice.started_unix_ms
+        entry.limited = notice.calls_per_second is not None
+        entry.callsPerSecond = notice.calls_per_second or 0.0
+        age = boot_now - notice.said_at
+        entry.ageMs = max(int(age * core.MILLISECONDS_PER_SECOND), 0)
     return _compress(message)
 
 
@@ -101,11 +115,25 @@
             ),
             held={entry.kind: entry.version for entry in message.held},
             deltas=tuple(_read_delta(entry) for entry in message.deltas),
+            limits=tuple(_read_notice(entry) for entry in message.limits),
         )
     except (capnp.KjException, zlib.error, ValueError) as error:
         raise MalformedDigestError(str(error)) from error
 
 
+def _read_notice(entry: object) -> named_limits.Notice:
+    limit = entry.callsPerSecond
+    if not 0 <= limit < math.inf:
+        raise MalformedDigestError(f"{limit} is not a limit of a server")
+    age = entry.ageMs / core.MILLISECONDS_PER_SECOND
+    return named_limits.Notice(
+        server_id=entry.server,
+        started_unix_ms=entry.startedUnixMs,
+        calls_per_second=limit if entry.limited else None,
+        said_at=core.boot_seconds() - age,
+    )
+
+
 def _fill_delta(entry: object, delta: replicas.Delta) -> None:
     entry.kind = delta.kind
     entry.since = delta.since
--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -11,7 +11,6 @@
 import banyandale_core as core
 from banyandale_direct import _calls as calls
 from banyandale_direct import _channels as channels
-from banyandale_direct import _cold_limits as cold_limits
 from banyandale_direct import _context as context
 from banyandale_direct import _demands as demands
 from banyandale_direct import _endpoints as endpoints
@@ -23,6 +22,7 @@
 from banyandale_direct import _registration as registration
 from banyandale_direct import _registry as registry
 from banyandale_direct import _replication as replication
+from banyandale_direct import _senders as senders
 from banyandale_direct import _server_health as server_health
 from banyandale_direct import _stops as stops
 from banyandale_direct import _store_updates as store_updates
@@ -77,13 +77,17 @@
             random_source=self._random,
         )
         self._registry = registry.Registry()
+        election = senders.SenderElection(own_ip=self._table.own.ip)
+        send_times = senders.SendTimes()
+        limits = named_limits.NamedLimits(election=election, times=send_times)
         self._shared = context.Shared(
             registry=self._registry,
             server_health=server_health.ServerHealthTable(),
             demands=demands.DemandTracker(),
             call_ages=demands.CallAgeTracker(),
-            cold_limiter=cold_limits.ColdLimiter(),
-            named_limits=named_limits.NamedLimits(),
+            election=election,
+            send_times=send_times,
+            named_limits=limits,
             channels=channels.Channels(
                 codec=adapter.servers, events=events, metrics=metrics
             ),
@@ -126,6 +130,8 @@
             is_ready=self.is_ready,
             held=self._replicator.held,
             on_digest=self._replicator.handle_digest,
+            election=election,
+            limits=limits,
             events=events,
             metrics=metrics,
         )
@@ -275,7 +281,7 @@
             addresses = self._registry.addresses()
             known = frozenset(addresses)
             self._shared.server_health.keep_only(known)
-            self._shared.cold_limiter.keep_only(known)
+            self._shared.send_times.keep_only(known)
             self._shared.named_limits.keep_only(known)
             await self._shared.channels.keep_only(addresses)
 
--- a/libs/direct/src/banyandale_direct/_gossip.py
+++ b/libs/direct/src/banyandale_direct/_gossip.py
@@ -12,7 +12,9 @@
 import banyandale_core as core
 from banyandale_direct import _digests as digests
 from banyandale_direct import _members as members
+from banyandale_direct import _named_limits as named_limits
 from banyandale_direct import _replicas as replicas
+from banyandale_direct import _senders as senders
 import banyandale_http as http
 
 MAX_DATAGRAM_BYTES = 65535
@@ -42,6 +44,8 @@
         is_ready: Callable[[], bool],
         held: Callable[[], dict[str, int]],
         on_digest: Callable[[digests.Digest], Awaitable[None]],
+        election: senders.SenderElection,
+        limits: named_limits.NamedLimits,
         events: core.EventLog,
         metrics: core.Metrics,
     ) -> None:
@@ -56,6 +60,8 @@
             is_ready: Returns whether this gateway may be listed to callers.
             held: Returns the store version up to which each kind is held.
             on_digest: Called with each digest after its members were merged.
+            election: Gets the live gateways once per round.
+            limits: Limits that servers have named.
             events: Log of the process.
             metrics: Counters of the process.
         """
@@ -65,6 +71,8 @@
         self._is_ready = is_ready
         self._held = held
         self._on_digest = on_digest
+        self._election = election
+        self._limits = limits
         self._events = events
         self._metrics = metrics
         self._live: frozenset[str] = frozenset()
@@ -87,12 +95,25 @@
                 )
                 continue
             new_ips = self._table.merge(digest.members, now=time.monotonic())
+            self._merge_limits(digest)
             await self._on_digest(digest)
             if digest.sender in new_ips:
                 # A gateway that has just started gets the full membership
                 # without waiting for a round.
                 await self._send(self._encode(full=True), [digest.sender])
 
+    def _merge_limits(self, digest: digests.Digest) -> None:
+        boot_now = core.boot_seconds()
+        for notice in digest.limits:
+            if self._limits.merge(notice, boot_now=boot_now):
+                self._metrics.incr("limits_named")
+                self._events.write_state(
+                    "limit_named",
+                    server=notice.server_id,
+                    calls_per_second=notice.calls_per_second,
+                    source=digest.sender,
+                )
+
     async def send(self) -> None:
         """Runs the gossip rounds in an endless loop."""
         while True:
@@ -153,6 +174,9 @@
                 ),
                 held=self._held(),
                 deltas=deltas,
+                limits=self._limits.spread(boot_now=core.boot_seconds())
+                if full
+                else (),
             )
         )
 
@@ -169,7 +193,11 @@
     def _report_changes(self) -> None:
         now = time.monotonic()
         self._table.forget_silent(now=now)
-        live = frozenset(m.ip for m in self._table.live(now=now))
+        alive = self._table.live(now=now)
+        self._election.update(
+            live=alive, known=self._table.known(), now=core.boot_seconds()
+        )
+        live = frozenset(member.ip for member in alive)
         if live != self._live:
             self._events.write_state(
                 "gateways_changed",
--- a/libs/direct/src/banyandale_direct/_members.py
+++ b/libs/direct/src/banyandale_direct/_members.py
@@ -277,6 +277,10 @@
         ]
         return [self._own, *others]
 
+    def known(self) -> list[Member]:
+        """Returns this gateway and all others, alive or not."""
+        return [self._own, *(known.member for known in self._known.values())]
+
     def is_live_in_zone(self, ip: str, *, now: float) -> bool:
         """Returns whether a gateway of the own zone is alive."""
         if ip == self._own.ip:
--- a/libs/direct/src/banyandale_direct/_selection.py
+++ b/libs/direct/src/banyandale_direct/_selection.py
@@ -1,7 +1,7 @@
 """Chooses the server of a call by load reports fetched for it.
 
-The decisions are in `_placement`, `_admission`, `_cold_limits` and
-`_server_health`; this module probes the servers and waits between attempts.
+The decisions are in `_placement`, `_admission`, `_cold_limits`, `_named_limits`
+and `_server_health`; this module probes the servers and waits between attempts.
 """
 
 import dataclasses
@@ -9,12 +9,15 @@
 
 import curio
 
+import banyandale_core as core
 from banyandale_direct import _admission as admission
 from banyandale_direct import _channels as channels
 from banyandale_direct import _cold_limits as cold_limits
 from banyandale_direct import _configuration as configuration
 from banyandale_direct import _context as context
+from banyandale_direct import _named_limits as named_limits
 from banyandale_direct import _placement as placement
+from banyandale_direct import _registry as registry
 from banyandale_direct import _server_health as server_health
 
 
@@ -29,6 +32,9 @@
         may_wait: Whether a slot may become free soon.
         asked: Number of servers probed, with a refusal.
         best: The best server probed, if any.
+        turn: Planned send if only servers that name a limit are left.
+        outdated: Whether another call took the turn of the best server while
+            this one probed.
     """
 
     probe: channels.Probe | None = None
@@ -37,6 +43,8 @@
     may_wait: bool = False
     asked: int = 0
     best: channels.Probe | None = None
+    turn: named_limits.Turn | None = None
+    outdated: bool = False
 
     def describe(self, *, now: float) -> dict[str, object]:
         """Returns the log fields of a refusal."""
@@ -73,6 +81,7 @@
         self._service = service
         self._target_at = target_at
         self._answer_by = answer_by
+        self._turn: named_limits.Turn | None = None
 
     async def choose(self, *, tried: frozenset[str], first: bool) -> Choice:
         """Chooses a server, waiting for a better one where that helps.
@@ -82,12 +91,32 @@
             first: Whether this is the call's first attempt; only that one
                 waits.
         """
-        while True:
-            choice = await self._select_once(tried)
-            if choice.probe is not None or not (first and choice.may_wait):
-                return choice
-            # This task is cancelled when the caller leaves or at the deadline.
-            await curio.sleep(admission.RECHECK_SECONDS)
+        try:
+            while True:
+                choice = await self._select_once(tried)
+                if choice.outdated:
+                    continue
+                if choice.probe is not None or not (first and choice.may_wait):
+                    return choice
+                # This task is cancelled when the caller leaves or at the
+                # deadline.
+                if choice.turn is None:
+                    await curio.sleep(admission.RECHECK_SECONDS)
+                else:
+                    await self._wait_for_turn(choice.turn)
+        finally:
+            self._return_turn()
+
+    async def _wait_for_turn(self, turn: named_limits.Turn) -> None:
+        self._return_turn()
+        self._shared.named_limits.take_turn(turn)
+        self._turn = turn
+        await curio.sleep(max(turn.at - time.monotonic(), 0.0))
+
+    def _return_turn(self) -> None:
+        if self._turn is not None:
+            self._shared.named_limits.return_turn(self._turn)
+            self._turn = None
 
     async def _select_once(self, tried: frozenset[str]) -> Choice:
         shared = self._shared
@@ -104,6 +133,10 @@
                 wait_seconds=admission.MAX_RETRY_AFTER_SECONDS / 2,
             )
         demand = shared.demands.find(self._route)
+        limited = [entry for entry in entries if self._send_at(entry) > now]
+        if len(limited) == len(entries):
+            return self._plan_turn(limited, demand)
+        entries = [entry for entry in entries if entry not in limited]
         zone = shared.settings.zone
         groups = placement.list_groups(
             entries,
@@ -145,6 +178,38 @@
                 if probe is not choice.probe:
                     await shared.channels.release(probe)
 
+    def _send_at(self, entry: registry.Entry) -> float:
+        """Returns when the limit that a server names allows a call."""
+        server = entry.server
+        if self._holds_turn(server):
+            return self._turn.at
+        return self._shared.named_limits.next_send_at(
+            server, boot_now=core.boot_seconds()
+        )
+
+    def _plan_turn(
+        self, limited: list[registry.Entry], demand: placement.Demand
+    ) -> Choice:
+        """Returns the refusal of a call that only limits keep from a server.
+
+        It may wait for its turn if it then still meets its target.
+        """
+        now = time.monotonic()
+        limits = self._shared.named_limits
+        servers = [entry.server for entry in limited]
+        turn = limits.plan_turn(servers, now=now, boot_now=core.boot_seconds())
+        if turn is None:
+            wait = limits.mean_wait_seconds(servers)
+        else:
+            wait = turn.at - now
+        return Choice(
+            refusal=admission.Refusal.SERVER_LIMIT,
+            wait_seconds=wait,
+            may_wait=turn is not None
+            and turn.at <= self._timing(demand).latest_start_at,
+            turn=turn,
+        )
+
     def _region_allowed(self, zone: str) -> bool:
         regions = self._route.regions
         return not regions or self._shared.settings.regions.get(zone) in regions
@@ -188,10 +253,16 @@
                     refusal=admission.Refusal.NO_ROOM,
                     may_wait=decision is admission.Decision.WAIT,
                 )
-            refusal, wait = self._check_cold(best.candidate)
+            refusal, wait = self._check_limits(best.candidate)
             if refusal is None:
+                self._record_send(best.candidate.entry.server)
                 return Choice(probe=best)
-            last = dataclasses.replace(last, refusal=refusal, wait_seconds=wait)
+            last = dataclasses.replace(
+                last,
+                refusal=refusal,
+                wait_seconds=wait,
+                outdated=refusal is admission.Refusal.SERVER_LIMIT,
+            )
         return last
 
     def _may_wait(
@@ -244,12 +315,25 @@
             deadline=self._answer_by,
         )
 
-    def _check_cold(
+    def _holds_turn(self, server: registry.Server) -> bool:
+        return self._turn is not None and self._turn.server_id == server.id
+
+    def _record_send(self, server: registry.Server) -> None:
+        if self._holds_turn(server):
+            # The turn is already recorded, and now used.
+            self._turn = None
+        else:
+            self._shared.send_times.record(server.id, at=time.monotonic())
+
+    def _check_limits(
         self, candidate: placement.Candidate
     ) -> tuple[admission.Refusal | None, float]:
-        """Applies the cold limit; returns like `_check`."""
+        """Applies the rate limits of a server; returns like `_check`."""
         now = time.monotonic()
-        server_id = candidate.entry.server.id
+        server = candidate.entry.server
+        send_at = self._send_at(candidate.entry)
+        if send_at > now:
+            return admission.Refusal.SERVER_LIMIT, send_at - now
         if candidate.report is not None:
             cold = candidate.report.cold_seconds > 0
         else:
@@ -260,14 +344,23 @@
         if not cold_limits.is_sender(
             gateway=shared.members.own.ip,
             gateways=[m.ip for m in shared.members.live(now=now)],
-            server_id=server_id,
+            server_id=server.id,
             calls_per_second=self._service.cold_calls_per_second,
         ):
             return (
                 admission.Refusal.COLD_LIMIT,
                 cold_limits.INTERVAL_SECONDS,
             )
-        if not shared.cold_limiter.try_send(server_id, now=now):
-            wait = shared.cold_limiter.next_send_at(server_id) - now
+        if self._holds_turn(server) and (
+            self._turn.interval_seconds >= cold_limits.INTERVAL_SECONDS
+        ):
+            return None, 0.0
+        wait = (
+            shared.send_times.next_send_at(
+                server.id, interval=cold_limits.INTERVAL_SECONDS
+            )
+            - now
+        )
+        if wait > 0:
             return admission.Refusal.COLD_LIMIT, wait
         return None, 0.0
--- /dev/null
+++ b/libs/direct/src/banyandale_direct/_senders.py
@@ -0,0 +1,175 @@
+"""Elects the gateways that share the rate limit of a server.
+
+Load pattern: a server takes few calls per second from all gateways together,
+while gateways start, stop, freeze and see different sets of live gateways. A
+few gateways of the server's zone, chosen by rendezvous hashing, share its
+limit, so that no message is needed per call. A gateway counts as a sender only
+after all its views of the live gateways agreed on it for some time: by then the
+gateway that it replaces has noticed, and that one's calls are no longer recent.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import math
+
+from banyandale_direct import _members as members
+from banyandale_direct import _registry as registry
+from banyandale_direct import _rendezvous as rendezvous
+
+# A gateway whose view is older than this is not a sender: it was suspended, or
+# has too little processor time. Views are updated once per gossip round.
+STALE_SECONDS = 2.0
+# Longest time for which earlier views are kept.
+MAX_STABLE_SECONDS = 15.0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _View:
+    """The gateways of each zone, as known from `since` until the next view.
+
+    Attributes:
+        since: Time of the view, in seconds of the boot clock.
+        live: IP addresses of the live gateways of each zone.
+        known: Number of gateways of each zone, silent ones included.
+        ranks: Own rank for the servers asked for so far, by id; infinite for
+            a server of a zone with gateways of its own.
+    """
+
+    since: float
+    live: dict[str, frozenset[str]]
+    known: dict[str, int]
+    ranks: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+class SenderElection:
+    """Decides for which servers this gateway is a sender."""
+
+    def __init__(self, *, own_ip: str) -> None:
+        self._own_ip = own_ip
+        self._views: list[_View] = []
+        self._updated_at = 0.0
+
+    def update(
+        self,
+        *,
+        live: Iterable[members.Member],
+        known: Iterable[members.Member],
+        now: float,
+    ) -> None:
+        """Records the current view.
+
+        Args:
+            live: All live gateways, with this one.
+            known: All known gateways, with this one.
+            now: Seconds of the boot clock.
+        """
+        if self._is_stale(now):
+            self._views.clear()
+        self._updated_at = now
+        by_zone: dict[str, set[str]] = {}
+        for member in live:
+            by_zone.setdefault(member.zone, set()).add(member.ip)
+        counts: dict[str, int] = {}
+        for member in known:
+            counts[member.zone] = counts.get(member.zone, 0) + 1
+        view = _View(
+            since=now,
+            live={zone: frozenset(ips) for zone, ips in by_zone.items()},
+            known=counts,
+        )
+        last = self._views[-1] if self._views else None
+        if last is None or (last.live, last.known) != (view.live, view.known):
+            self._views.append(view)
+        while (
+            len(self._views) > 1
+            and self._views[1].since <= now - MAX_STABLE_SECONDS
+        ):
+            del self._views[0]
+
+    def _is_stale(self, now: float) -> bool:
+        return now - self._updated_at > STALE_SECONDS
+
+    def count_candidates(self, zone: str) -> int:
+        """Returns how many gateways may be senders for a zone's servers.
+
+        Silent gateways are included, and of the recent views the one with most
+        of them counts.
+        """
+        return max(
+            (
+                view.known.get(zone) or sum(view.known.values())
+                for view in self._views
+            ),
+            default=0,
+        )
+
+    def is_sender(
+        self,
+        server: registry.Server,
+        *,
+        count: int,
+        stable_seconds: float,
+        now: float,
+    ) -> bool:
+        """Returns whether this gateway is a sender for a server.
+
+        Args:
+            server: The server.
+            count: Number of senders.
+            stable_seconds: Time for which all views must have agreed.
+            now: Seconds of the boot clock.
+        """
+        since = now - min(stable_seconds, MAX_STABLE_SECONDS)
+        if self._is_stale(now) or self._views[0].since > since:
+            return False
+        for view in reversed(self._views):
+            if self._rank(view, server) >= count:
+                return False
+            if view.since <= since:
+                break
+        return True
+
+    def _rank(self, view: _View, server: registry.Server) -> float:
+        rank = view.ranks.get(server.id)
+        if rank is None:
+            candidates = self._candidates(view, server.zone)
+            own = rendezvous.weigh(self._own_ip, server.id)
+            rank = float(
+                sum(rendezvous.weigh(ip, server.id) > own for ip in candidates)
+            )
+            if self._own_ip not in candidates:
+                rank = math.inf
+            view.ranks[server.id] = rank
+        return rank
+
+    def _candidates(self, view: _View, zone: str) -> frozenset[str]:
+        # The gateways of a zone that has become silent may still be sending.
+        if view.known.get(zone):
+            return view.live.get(zone, frozenset())
+        return frozenset().union(*view.live.values())
+
+
+class SendTimes:
+    """When this gateway last sent to each server."""
+
+    def __init__(self) -> None:
+        self._sent_at: dict[str, float] = {}
+
+    def next_send_at(self, server_id: str, *, interval: float) -> float:
+        """Returns the monotonic time from which a server may get a call."""
+        sent_at = self._sent_at.get(server_id)
+        return 0.0 if sent_at is None else sent_at + interval
+
+    def record(self, server_id: str, *, at: float) -> None:
+        """Records a send, or one that is planned."""
+        self._sent_at[server_id] = max(at, self._sent_at.get(server_id, at))
+
+    def cancel(self, server_id: str, *, at: float, interval: float) -> None:
+        """Removes the planned send at `at` if no later one is planned."""
+        if self._sent_at.get(server_id) == at:
+            self._sent_at[server_id] = at - interval
+
+    def keep_only(self, server_ids: frozenset[str]) -> None:
+        """Removes servers that are gone."""
+        for server_id in self._sent_at.keys() - server_ids:
+            del self._sent_at[server_id]
--- a/libs/direct/src/banyandale_direct/members.capnp
+++ b/libs/direct/src/banyandale_direct/members.capnp
@@ -16,6 +16,21 @@
   held @3 :List(Held);
   # Changes that the sender has just received.
   deltas @4 :List(Delta);
+  # What servers last said about their limits.
+  limits @5 :List(NamedLimit);
+}
+
+struct NamedLimit {
+  # Id of the server.
+  server @0 :Text;
+  # Start of the server's process in Unix milliseconds.
+  startedUnixMs @1 :Int64;
+  # Whether it names a limit; otherwise it has ended.
+  limited @2 :Bool;
+  # Calls per second that it takes from all gateways together.
+  callsPerSecond @3 :Float64;
+  # Time since it said so.
+  ageMs @4 :UInt32;
 }
 
 struct Held {
--- a/libs/direct/tests/test_cold_limits.py
+++ b/libs/direct/tests/test_cold_limits.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies
 
 from banyandale_direct import _cold_limits as cold_limits
+from banyandale_direct import _senders as senders
 
 OVERAGE = 1.5
 SLACK = 5.0
@@ -32,13 +33,13 @@
     """
     source = random.Random(seed)
     names = [f"10.0.0.{number}" for number in range(gateways)]
-    limiters = {name: cold_limits.ColdLimiter() for name in names}
+    times = {name: senders.SendTimes() for name in names}
     unseen = source.sample(names, min(missing, gateways - 1))
     views = {
         name: [n for n in names if n not in unseen or n == name]
         for name in names
     }
-    senders = [
+    chosen = [
         name
         for name in names
         if cold_limits.is_sender(
@@ -48,12 +49,14 @@
             calls_per_second=limit,
         )
     ]
-    assert senders
+    assert chosen
     sent = []
     for step in range(60):
         now = step * 0.05
-        for name in senders:
-            if limiters[name].try_send("server", now=now):
+        for name in chosen:
+            interval = cold_limits.INTERVAL_SECONDS
+            if now >= times[name].next_send_at("server", interval=interval):
+                times[name].record("server", at=now)
                 sent.append(now)
     assert count_busiest_second(sent) <= limit * OVERAGE + SLACK
 
--- a/tests/adapter/test_named_limits.py
+++ b/tests/adapter/test_named_limits.py
@@ -26,6 +26,37 @@
     )
 
 
+class TimedCalls:
+    """Sends calls and records their outcomes.
+
+    Attributes:
+        statuses: Status by name of the call.
+        seconds: Duration by name of the call.
+    """
+
+    def __init__(self, deployment, ip):
+        self._deployment = deployment
+        self._ip = ip
+        self.statuses = {}
+        self.seconds = {}
+
+    async def _send(self, name):
+        sent_at = time.monotonic()
+        response = await self._deployment.send(self._ip, "/read/x", name=name)
+        self.statuses[name] = response.status
+        self.seconds[name] = time.monotonic() - sent_at
+        if response.status == 503:
+            assert float(response.header(b"retry-after")) > 0
+
+    async def send_all(self, names):
+        tasks = []
+        for name in names:
+            tasks.append(await curio.spawn(self._send, name))
+            await curio.sleep(0.01)
+        for task in tasks:
+            await task.join()
+
+
 async def call_until(deployment, ip, until, statuses):
     while time.monotonic() < until:
         response = await deployment.send(ip, "/read/x")
@@ -64,3 +95,72 @@
         assert set(statuses) == {200}
 
     deployments.run(tmp_path, scenario, GATEWAYS)
+
+
+def test_calls_wait_in_order_or_are_rejected_at_once(tmp_path):
+    """Guards against calls held without hope, and ones that overtake others.
+
+    Each of the three servers takes 4 calls per second; a call is due after
+    0.6 s, so that it can wait for the third turn of a server at most.
+    """
+
+    async def scenario(deployment, ip):
+        for server in deployment.servers:
+            server.limit = 4.0
+        calls = TimedCalls(deployment, ip)
+        until = time.monotonic() + 4.0
+        while time.monotonic() < until:
+            await calls.send_all(["warm"])
+            await curio.sleep(0.2)
+        await curio.sleep(0.5)
+        for server in deployment.servers:
+            server.executed_ids.clear()
+        names = [f"c{number:02}" for number in range(14)]
+        await calls.send_all(names)
+        served = [name for name in names if calls.statuses[name] == 200]
+        refused = [name for name in names if calls.statuses[name] == 503]
+        assert sorted(served + refused) == names
+        assert served == names[: len(served)]
+        assert 6 <= len(served) <= 9
+        for server in deployment.servers:
+            assert server.executed_ids == sorted(server.executed_ids)
+        assert max(calls.seconds[name] for name in served) < 0.7
+        assert max(calls.seconds[name] for name in refused) < 0.3
+        reasons = {
+            event["reason"] for event in deployment.read_events(ip, "refused")
+        }
+        assert reasons == {"server_limit"}
+
+    deployments.run(tmp_path, scenario)
+
+
+def test_a_limit_that_has_ended_is_lifted_at_all_gateways(tmp_path):
+    """Guards against gateways that do not send and so never hear of the end."""
+
+    async def scenario(deployment, *ips):
+        for server in deployment.servers:
+            server.limit = 1.0
+        until = time.monotonic() + 4.0
+        tasks = [
+            await curio.spawn(call_until, deployment, ip, until, [])
+            for ip in ips
+        ]
+        for task in tasks:
+            await task.join()
+        for server in deployment.servers:
+            server.limit = None
+        statuses = []
+        until = time.monotonic() + 6.0
+        tasks = [
+            await curio.spawn(call_until, deployment, ip, until, statuses)
+            for ip in ips
+        ]
+        for task in tasks:
+            await task.join()
+        assert set(statuses[-20:]) == {200}
+        for ip in ips:
+            calls = TimedCalls(deployment, ip)
+            await calls.send_all([f"last{n}" for n in range(9)])
+            assert set(calls.statuses.values()) == {200}
+
+    deployments.run(tmp_path, scenario, GATEWAYS)
