--- a/tests/adapter/test_named_limits.py
+++ b/tests/adapter/test_named_limits.py
@@ -92,6 +92,12 @@
             await task.join()
         counted = [t for t in times if t >= times[0] + CONTACT_SECONDS]
         assert 0 < count_busiest_window(counted) <= ALLOWED
+        refused = [
+            event
+            for ip in ips
+            for event in deployment.read_events(ip, "refused")
+        ]
+        assert refused == []
         assert set(statuses) == {200}
 
     deployments.run(tmp_path, scenario, GATEWAYS)
