direct: keep the cold limit when gateways start alone or a zone is cut off

The same class as the named limits: a promise over all gateways. Cause: a gateway that had just started took itself for the only one, and after the loss of all gateways each did, so a cold server got a call from each of them at once; and each part of a fleet cut in two elected its own senders.

Change: cold limits use the election of the named limits: gateways of the server's zone, whose views agreed for the interval of 1.1 s. A gateway with a wrong view still adds one call per interval.

The tests failed before: 5 gateways that start alone sent 6 calls in a second to a server that takes 0.5 (5.75 allowed), and a gateway of a zone that was cut off sent to a server of another zone. The older simulation keeps its bound and cases; it now runs the election over time.

--- a/libs/direct/src/banyandale_direct/_cold_limits.py
+++ b/libs/direct/src/banyandale_direct/_cold_limits.py
@@ -2,17 +2,16 @@
 
 Load pattern: a zone returns after an outage and all its servers are cold, or a
 service is replaced server by server. A cold server fails when it gets many more
-calls per second than its limit, counted over all gateways. A few gateways per
-server, chosen by rendezvous hashing over the live ones, may send to it, each at
-most once per interval. The limit therefore holds without coordination, and a
-gateway with a wrong view of the live gateways adds at most one call per
-interval.
+calls per second than its limit, counted over all gateways. A few gateways of
+the server's zone (`_senders`) may send to it, each at most once per interval.
+The limit therefore holds without coordination, and a gateway with a wrong view
+of the live gateways adds at most one call per interval.
 """
 
-from collections.abc import Iterable
 import math
 
-from banyandale_direct import _rendezvous as rendezvous
+from banyandale_direct import _registry as registry
+from banyandale_direct import _senders as senders
 
 # Number of gateways that may send to a cold server, and so of calls from all
 # gateways in any second: this many per call of the server's limit, and
@@ -25,26 +24,28 @@
 INTERVAL_SECONDS = 1.1
 
 
-def is_sender(
+def next_send_at(
+    server: registry.Server,
     *,
-    gateway: str,
-    gateways: Iterable[str],
-    server_id: str,
     calls_per_second: float,
-) -> bool:
-    """Returns whether this gateway may send to a cold server.
+    election: senders.SenderElection,
+    times: senders.SendTimes,
+    boot_now: float,
+) -> float:
+    """Returns the monotonic time from which a cold server may get a call.
+
+    Infinite if this gateway is not a sender for it.
 
     Args:
-        gateway: Name of this gateway.
-        gateways: Names of all live gateways, with or without this one.
-        server_id: The cold server.
-        calls_per_second: The server's limit over all gateways.
+        server: The cold server.
+        calls_per_second: Its limit over all gateways.
+        election: Decides for which servers this gateway is a sender.
+        times: Sends of this gateway.
+        boot_now: Seconds of the boot clock.
     """
     count = math.floor(calls_per_second * SENDERS_PER_CALL) + EXTRA_SENDERS
-    own = rendezvous.weigh(gateway, server_id)
-    ahead = sum(
-        1
-        for other in gateways
-        if other != gateway and rendezvous.weigh(other, server_id) > own
-    )
-    return ahead < count
+    if not election.is_sender(
+        server, count=count, stable_seconds=INTERVAL_SECONDS, now=boot_now
+    ):
+        return math.inf
+    return times.next_send_at(server.id, interval=INTERVAL_SECONDS)
--- a/libs/direct/src/banyandale_direct/_selection.py
+++ b/libs/direct/src/banyandale_direct/_selection.py
@@ -340,27 +340,18 @@
             cold = candidate.entry.cold_until > now
         if not cold:
             return None, 0.0
-        shared = self._shared
-        if not cold_limits.is_sender(
-            gateway=shared.members.own.ip,
-            gateways=[m.ip for m in shared.members.live(now=now)],
-            server_id=server.id,
-            calls_per_second=self._service.cold_calls_per_second,
-        ):
-            return (
-                admission.Refusal.COLD_LIMIT,
-                cold_limits.INTERVAL_SECONDS,
-            )
         if self._holds_turn(server) and (
             self._turn.interval_seconds >= cold_limits.INTERVAL_SECONDS
         ):
             return None, 0.0
-        wait = (
-            shared.send_times.next_send_at(
-                server.id, interval=cold_limits.INTERVAL_SECONDS
-            )
-            - now
+        send_at = cold_limits.next_send_at(
+            server,
+            calls_per_second=self._service.cold_calls_per_second,
+            election=self._shared.election,
+            times=self._shared.send_times,
+            boot_now=core.boot_seconds(),
         )
-        if wait > 0:
+        if send_at > now:
+            wait = min(send_at - now, cold_limits.INTERVAL_SECONDS)
             return admission.Refusal.COLD_LIMIT, wait
         return None, 0.0
--- a/libs/direct/tests/test_cold_limits.py
+++ b/libs/direct/tests/test_cold_limits.py
@@ -1,15 +1,26 @@
 """Tests of the rate limit on calls to cold servers."""
 
+import math
 import random
 
 from hypothesis import given
+from hypothesis import settings
 from hypothesis import strategies
 
 from banyandale_direct import _cold_limits as cold_limits
+from banyandale_direct import _members as members
+from banyandale_direct import _registry as registry
 from banyandale_direct import _senders as senders
 
 OVERAGE = 1.5
 SLACK = 5.0
+SERVER = registry.Server(id="i", address="a:1", service="s", zone="a", slots=2)
+
+
+def make_member(name, zone="a"):
+    return members.Member(
+        ip=name, zone=zone, started_unix_ms=0, beat=0, ready=True
+    )
 
 
 def count_busiest_second(sent):
@@ -19,6 +30,36 @@
     )
 
 
+class Gateway:
+    """A gateway that always has a call for the cold server."""
+
+    def __init__(self, name, limit):
+        self.member = make_member(name)
+        self.limit = limit
+        self.restart()
+
+    def restart(self):
+        self.election = senders.SenderElection(own_ip=self.member.ip)
+        self.times = senders.SendTimes()
+
+    def see(self, live, now):
+        self.election.update(live=live, known=live, now=now)
+
+    def try_send(self, now):
+        at = cold_limits.next_send_at(
+            SERVER,
+            calls_per_second=self.limit,
+            election=self.election,
+            times=self.times,
+            boot_now=now,
+        )
+        if at > now:
+            return False
+        self.times.record("i", at=now)
+        return True
+
+
+@settings(deadline=None)
 @given(
     seed=strategies.integers(0, 1000),
     gateways=strategies.integers(1, 150),
@@ -33,36 +74,72 @@
     """
     source = random.Random(seed)
     names = [f"10.0.0.{number}" for number in range(gateways)]
-    times = {name: senders.SendTimes() for name in names}
+    fleet = [Gateway(name, limit) for name in names]
     unseen = source.sample(names, min(missing, gateways - 1))
-    views = {
-        name: [n for n in names if n not in unseen or n == name]
-        for name in names
-    }
-    chosen = [
-        name
-        for name in names
-        if cold_limits.is_sender(
-            gateway=name,
-            gateways=views[name],
-            server_id="server",
-            calls_per_second=limit,
-        )
-    ]
-    assert chosen
     sent = []
-    for step in range(60):
-        now = step * 0.05
-        for name in chosen:
-            interval = cold_limits.INTERVAL_SECONDS
-            if now >= times[name].next_send_at("server", interval=interval):
-                times[name].record("server", at=now)
+    for step in range(100):
+        now = 10.0 + step * 0.05
+        for gateway in fleet:
+            if step % 10 == 0:
+                live = [
+                    other.member
+                    for other in fleet
+                    if other is gateway or other.member.ip not in unseen
+                ]
+                gateway.see(live, now)
+            if gateway.try_send(now):
+                sent.append(now)
+    assert sent
+    assert count_busiest_second(sent) <= limit * OVERAGE + SLACK
+
+
+@settings(max_examples=20, deadline=None)
+@given(
+    gateways=strategies.integers(1, 60),
+    limit=strategies.sampled_from([0.5, 3.6, 15.0]),
+)
+def test_gateways_that_start_alone_keep_the_limit(gateways, limit):
+    """Guards against gateways that each take themselves for the only one.
+
+    All are killed at once and hear of each other 0.2 s after they started.
+    """
+    fleet = [Gateway(f"10.0.0.{n}", limit) for n in range(gateways)]
+    everyone = [gateway.member for gateway in fleet]
+    sent = []
+    for step in range(200):
+        now = 10.0 + step * 0.05
+        alone = step < 4 or 100 <= step < 104
+        for gateway in fleet:
+            if step == 100:
+                gateway.restart()
+            if step % 2 == 0:
+                gateway.see([gateway.member] if alone else everyone, now)
+            if gateway.try_send(now):
                 sent.append(now)
+    assert any(at > 16.5 for at in sent)
     assert count_busiest_second(sent) <= limit * OVERAGE + SLACK
 
 
+def test_a_cut_between_zones_does_not_double_the_limit():
+    """Guards against two parts of a fleet that each use the whole limit."""
+    election = senders.SenderElection(own_ip="10.0.0.9")
+    own = make_member("10.0.0.9", zone="b")
+    known = [own, make_member("10.0.0.1")]
+    for step in range(20):
+        election.update(live=[own], known=known, now=10.0 + step * 0.5)
+    at = cold_limits.next_send_at(
+        SERVER,
+        calls_per_second=40.0,
+        election=election,
+        times=senders.SendTimes(),
+        boot_now=19.5,
+    )
+    assert at == math.inf
+
+
 def test_a_limit_below_one_still_lets_a_server_warm_up():
     """Guards against a server that never gets a first call."""
-    assert cold_limits.is_sender(
-        gateway="a", gateways=["a"], server_id="s", calls_per_second=0.0
-    )
+    gateway = Gateway("a", 0.0)
+    for step in range(10):
+        gateway.see([gateway.member], 10.0 + step * 0.5)
+    assert gateway.try_send(14.5)
