tests: keep pauses of the garbage collector out of the stand-ins

Finding: test_a_named_limit_holds_over_all_gateways failed 2 times in some 25 runs, both right after the tests of libs/direct in the same process, once with a log: one call of about 1,400 was refused as no_server, because no load report came within 120 ms; all three gateways have no line for 61 ms and then 51 ms around it, so the stand-ins, which run in the test's process, stood still. With a hook on the collector, full collections of that process pause it for up to 53 ms there. The objects of earlier tests are now frozen before the stand-ins start. The check is unchanged.

--- a/tests/adapter/deployments.py
+++ b/tests/adapter/deployments.py
@@ -1,5 +1,6 @@
 """Runs gateways as processes on loopback, with stand-ins in this process."""
 
+import gc
 import json
 import os
 import pathlib
@@ -148,6 +149,11 @@
 
 
 def run(tmp_path, scenario, gateways=("127.0.7.1",)):
+    # The stand-ins run in this process, next to the objects of all earlier
+    # tests: pauses of its garbage collector would be servers that hang.
+    gc.collect()
+    gc.freeze()
+
     async def main():
         deployment = Deployment(tmp_path)
         await deployment.start()
