direct: log listings that are ignored, with the era of the store

Listings and watches now carry the era that the store names in its answers, and an ignored listing is logged with both versions. The in-memory store can come back from a copy. Nothing else is decided by the era yet.

--- a/libs/direct/src/banyandale_direct/_replication.py
+++ b/libs/direct/src/banyandale_direct/_replication.py
@@ -177,6 +177,15 @@
             if replica.apply_listing(listing):
                 self._on_listing(replica.kind, listing.objects, listing.version)
                 await self.gossip.notify_zone(remote=True)
+            else:
+                self._metrics.incr(f"listing_ignored:{replica.kind}")
+                self._events.write(
+                    "listing_ignored",
+                    kind=replica.kind,
+                    store_era=listing.era,
+                    store_version=listing.version,
+                    held=replica.version,
+                )
             return
         now = time.monotonic()
         watch_at = max(now, self._watch_at.get(replica.kind, 0.0))
--- a/libs/platform/src/banyandale_platform/_objects.py
+++ b/libs/platform/src/banyandale_platform/_objects.py
@@ -24,10 +24,18 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Listing:
-    """All objects of one kind at one store version."""
+    """All objects of one kind at one store version.
+
+    Attributes:
+        version: Store version of the listing.
+        objects: The objects.
+        era: Number of times that the store has come back from an older copy.
+            Versions of different eras have no order.
+    """
 
     version: int
     objects: tuple[StoredObject, ...]
+    era: int = 0
 
 
 class ChangeType(enum.Enum):
@@ -59,10 +67,12 @@
         version: Store version up to which `changes` is complete; the next
             watch continues from it.
         changes: Changes, ordered by version.
+        era: Era of the store, as in `Listing`.
     """
 
     version: int
     changes: tuple[Change, ...]
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/libs/platform/src/banyandale_platform/testing.py
+++ b/libs/platform/src/banyandale_platform/testing.py
@@ -44,6 +44,14 @@
             raise errors.OutcomeUnknownError("the response was lost")
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StoreCopy:
+    """The objects of a `MemoryStore` at one version."""
+
+    version: int
+    objects: dict[str, dict[str, objects.StoredObject]]
+
+
 class MemoryStore:
     """An `ObjectStore` in memory.
 
@@ -51,6 +59,7 @@
         faults: Faults to inject.
         counts: Number of calls by operation and kind, such as
             `update.lease`.
+        era: Number of times that it came back from a copy.
     """
 
     def __init__(
@@ -70,11 +79,13 @@
         self._clock = clock or core.SystemClock()
         self.faults = faults or Faults()
         self.counts: collections.Counter[str] = collections.Counter()
+        self.era = 0
         self._version = 0
         self._objects: dict[str, dict[str, objects.StoredObject]] = {}
         self._change_log: collections.deque[objects.Change] = collections.deque(
             maxlen=kept_changes
         )
+        self._kept_since = 0
         self._waiters: set[curio.Event] = set()
 
     @property
@@ -98,6 +109,7 @@
         return objects.Listing(
             version=self._version,
             objects=tuple(stored[name] for name in sorted(stored)),
+            era=self.era,
         )
 
     async def create(
@@ -138,10 +150,36 @@
             changes = self._find_changes(kinds, since)
             remaining = deadline - self._clock.monotonic()
             if changes or remaining <= 0:
-                return objects.Changes(version=self._version, changes=changes)
+                return objects.Changes(
+                    version=self._version, changes=changes, era=self.era
+                )
             await self._wait(remaining)
             await self.faults.apply()
 
+    def copy(self) -> "StoreCopy":
+        """Returns a copy of the objects, to come back from later."""
+        return StoreCopy(
+            version=self._version,
+            objects={
+                kind: dict(stored) for kind, stored in self._objects.items()
+            },
+        )
+
+    async def restore(self, copy: "StoreCopy") -> None:
+        """Comes back from a copy; starts the next era.
+
+        Everything written since is lost, its versions are given out again, and
+        changes before the copy are no longer kept.
+        """
+        self.era += 1
+        self._version = copy.version
+        self._objects = {
+            kind: dict(stored) for kind, stored in copy.objects.items()
+        }
+        self._change_log.clear()
+        self._kept_since = copy.version
+        await self._wake_watches()
+
     async def set_down(self, down: bool) -> None:
         """Starts or ends an outage. Its start fails the waiting watches."""
         self.faults.down = down
@@ -180,8 +218,10 @@
         return written
 
     def _check_history(self, since: int) -> None:
-        oldest = self._change_log[0].object.version if self._change_log else 1
-        if since > self._version or since < oldest - 1:
+        kept_since = self._kept_since
+        if len(self._change_log) == self._change_log.maxlen:
+            kept_since = self._change_log[0].object.version - 1
+        if since > self._version or since < kept_since:
             raise errors.WatchExpiredError(
                 f"changes since version {since} are no longer kept"
             )
--- a/tests/adapter/standin.py
+++ b/tests/adapter/standin.py
@@ -1,6 +1,7 @@
 """Test doubles of the platform's store and of backend servers over HTTP."""
 
 import collections
+import dataclasses
 import json
 import time
 from urllib import parse
@@ -78,13 +79,19 @@
     Attributes:
         store: The stored objects; its `faults` apply to the HTTP calls.
         calls: Number of calls by method and kind.
+        refusing: Whether it refuses all calls over HTTP.
     """
 
     def __init__(self):
         super().__init__()
         self.store = testing.MemoryStore()
+        self.refusing = False
         self.calls = collections.Counter()
 
+    async def restore(self, copy):
+        """Comes back from a copy, as `MemoryStore.restore`."""
+        await self.store.restore(copy)
+
     async def put(self, kind, name, value):
         """Writes an object as the operator or a server does."""
         data = json.dumps(value).encode()
@@ -111,6 +118,15 @@
         }
         kind, _, name = path.removeprefix(OBJECTS_PATH).partition("/")
         self.calls[request.method.decode(), kind] += 1
+        response = await self._answer(request, kind, name, fields)
+        if response is None:
+            return None
+        if self.refusing:
+            return make_response(503)
+        era = (b"store-era", str(self.store.era).encode())
+        return dataclasses.replace(response, headers=(*response.headers, era))
+
+    async def _answer(self, request, kind, name, fields):
         try:
             return await self._handle(request, kind, name, fields)
         except platform.ConflictError as error:
