direct: order versions of the store by era

Callers got 404 for routes of a configuration that had been confirmed 2 s before, from all gateways and for good, after the store had come back from a copy.

Revisions went back with the copy. Found beside it: a watch from a revision that had been given out again would be answered, and join two histories; digests and fetches between gateways compared bare revisions, too.

Class: a version orders nothing without the history that it belongs to. Replicas, digests, deltas, fetches, watches and the registry now compare (era, revision). A watch that is answered in another era counts as expired; once a kind is seen in a later era, all others are listed again. A gateway that is behind cannot bring the earlier era back, its versions are lower whatever their revision. The newest configuration known, by the operators' version, takes the place of an older one in a listing, so that it stays in force, also at gateways that start meanwhile: digests carry that version, and a gateway that lacks it fetches it.

The state machine of replicas now has restores as steps; before, a replica mixed two eras there. One more era costs 8 bytes per kind and digest, at any number of gateways.

--- a/libs/direct/src/banyandale_direct/_channels.py
+++ b/libs/direct/src/banyandale_direct/_channels.py
@@ -49,7 +49,7 @@
         fields: dict[str, object] = {
             "server": entry.server.id,
             "zone": entry.server.zone,
-            "entry_version": entry.version,
+            "entry_version": entry.version.revision,
         }
         report = self.candidate.report
         if report is not None:
--- a/libs/direct/src/banyandale_direct/_digests.py
+++ b/libs/direct/src/banyandale_direct/_digests.py
@@ -11,6 +11,7 @@
 from banyandale_direct import _members as members
 from banyandale_direct import _named_limits as named_limits
 from banyandale_direct import _replicas as replicas
+from banyandale_direct import _versions as versions
 import banyandale_platform as platform
 
 capnp.remove_import_hook()
@@ -44,14 +45,17 @@
         held: Store version up to which the sender holds each kind.
         deltas: Changes that the sender has just received.
         limits: What servers last said about their limits.
+        configuration: Version that operators gave the configuration in force; 0
+            without one.
     """
 
     sender: str
     reading: bool
     members: members.MemberBlock
-    held: dict[str, int]
+    held: dict[str, versions.Version]
     deltas: tuple[replicas.Delta, ...] = ()
     limits: tuple[named_limits.Notice, ...] = ()
+    configuration: int = 0
 
 
 def _compress(message: object) -> bytes:
@@ -73,11 +77,12 @@
     message = _SCHEMA.Digest.new_message()
     message.sender = members.pack_ip(digest.sender)
     message.reading = digest.reading
+    message.configuration = digest.configuration
     message.members = digest.members.to_bytes()
     held = message.init("held", len(digest.held))
     for entry, (kind, version) in zip(held, digest.held.items(), strict=True):
         entry.kind = kind
-        entry.version = version
+        entry.era, entry.version = version
     deltas = message.init("deltas", len(digest.deltas))
     for entry, delta in zip(deltas, digest.deltas, strict=True):
         _fill_delta(entry, delta)
@@ -113,7 +118,11 @@
             members=members.MemberBlock.from_bytes(
                 bytes(message.members), zones=zones
             ),
-            held={entry.kind: entry.version for entry in message.held},
+            held={
+                entry.kind: versions.Version(entry.era, entry.version)
+                for entry in message.held
+            },
+            configuration=message.configuration,
             deltas=tuple(_read_delta(entry) for entry in message.deltas),
             limits=tuple(_read_notice(entry) for entry in message.limits),
         )
@@ -136,8 +145,8 @@
 
 def _fill_delta(entry: object, delta: replicas.Delta) -> None:
     entry.kind = delta.kind
-    entry.since = delta.since
-    entry.version = delta.version
+    entry.since = delta.since.revision
+    entry.era, entry.version = delta.version
     entry.complete = delta.complete
     items = entry.init("items", len(delta.changes))
     for item, change in zip(items, delta.changes, strict=True):
@@ -150,8 +159,8 @@
 def _read_delta(entry: object) -> replicas.Delta:
     return replicas.Delta(
         kind=entry.kind,
-        since=entry.since,
-        version=entry.version,
+        since=versions.Version(entry.era, entry.since),
+        version=versions.Version(entry.era, entry.version),
         complete=entry.complete,
         changes=tuple(
             platform.Change(
--- a/libs/direct/src/banyandale_direct/_gossip.py
+++ b/libs/direct/src/banyandale_direct/_gossip.py
@@ -15,6 +15,7 @@
 from banyandale_direct import _named_limits as named_limits
 from banyandale_direct import _replicas as replicas
 from banyandale_direct import _senders as senders
+from banyandale_direct import _versions as versions
 import banyandale_http as http
 
 MAX_DATAGRAM_BYTES = 65535
@@ -42,7 +43,8 @@
         zones: tuple[str, ...],
         seeds: tuple[str, ...],
         is_ready: Callable[[], bool],
-        held: Callable[[], dict[str, int]],
+        held: Callable[[], dict[str, versions.Version]],
+        configuration_version: Callable[[], int],
         on_digest: Callable[[digests.Digest], Awaitable[None]],
         election: senders.SenderElection,
         limits: named_limits.NamedLimits,
@@ -59,6 +61,8 @@
                 alive.
             is_ready: Returns whether this gateway may be listed to callers.
             held: Returns the store version up to which each kind is held.
+            configuration_version: Returns the version that operators gave the
+                configuration in force.
             on_digest: Called with each digest after its members were merged.
             election: Gets the live gateways once per round.
             limits: Limits that servers have named.
@@ -70,6 +74,7 @@
         self._seeds = seeds
         self._is_ready = is_ready
         self._held = held
+        self._configuration_version = configuration_version
         self._on_digest = on_digest
         self._election = election
         self._limits = limits
@@ -173,6 +178,7 @@
                     known, zones=self._zones
                 ),
                 held=self._held(),
+                configuration=self._configuration_version(),
                 deltas=deltas,
                 limits=self._limits.spread(boot_now=core.boot_seconds())
                 if full
--- a/libs/direct/src/banyandale_direct/_registry.py
+++ b/libs/direct/src/banyandale_direct/_registry.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 import dataclasses
 
+from banyandale_direct import _versions as versions
+
 # A server whose entry vanished without a notice remains usable as a last resort
 # for this long. Entries that expired during a store outage are back about two
 # seconds after it ends; the strictest requirement allows calls to a server for
@@ -49,7 +51,7 @@
     """
 
     server: Server
-    version: int
+    version: versions.Version
     cold_until: float
     vanished_at: float | None = None
 
@@ -71,7 +73,9 @@
         """Replaces the set of zones that are out of service."""
         self._zones_out = frozenset(zones)
 
-    def put(self, server: Server, *, version: int, now: float) -> bool:
+    def put(
+        self, server: Server, *, version: versions.Version, now: float
+    ) -> bool:
         """Stores an entry; returns whether it differs from the known one."""
         known = self._entries.get(server.id)
         if known is not None and known.version > version:
@@ -87,7 +91,9 @@
         )
         return changed
 
-    def remove(self, server_id: str, *, version: int, now: float) -> bool:
+    def remove(
+        self, server_id: str, *, version: versions.Version, now: float
+    ) -> bool:
         """Marks an entry as vanished; returns whether it was known."""
         known = self._entries.get(server_id)
         if known is None or known.vanished_at is not None:
@@ -99,7 +105,11 @@
         return True
 
     def replace(
-        self, servers: Iterable[tuple[Server, int]], *, version: int, now: float
+        self,
+        servers: Iterable[tuple[Server, versions.Version]],
+        *,
+        version: versions.Version,
+        now: float,
     ) -> None:
         """Replaces all entries by a complete listing at a store version."""
         present = set()
--- a/libs/direct/src/banyandale_direct/_replicas.py
+++ b/libs/direct/src/banyandale_direct/_replicas.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 
+from banyandale_direct import _versions as versions
 import banyandale_platform as platform
 
 # Number of recent changes kept for replicas that are slightly behind. A gateway
@@ -16,15 +17,16 @@
 
     Attributes:
         kind: Kind of the objects.
-        since: Version to which the changes apply; 0 with `complete`.
+        since: Version to which the changes apply, in the era of `version`;
+            revision 0 with `complete`.
         version: Version after the changes.
         complete: Whether `changes` contains all objects of the kind.
         changes: Changes in the order of the store.
     """
 
     kind: str
-    since: int
-    version: int
+    since: versions.Version
+    version: versions.Version
     complete: bool
     changes: tuple[platform.Change, ...]
 
@@ -40,7 +42,7 @@
 
     def __init__(self, *, kind: str) -> None:
         self.kind = kind
-        self.version: int | None = None
+        self.version: versions.Version | None = None
         self._objects: dict[str, platform.StoredObject] = {}
         self._log: collections.deque[tuple[int, platform.Change]] = (
             collections.deque()
@@ -57,10 +59,11 @@
         A listing older than the replica is ignored, so that the replica never
         goes back in time.
         """
-        if self.version is not None and listing.version < self.version:
+        version = versions.Version(listing.era, listing.version)
+        if self.version is not None and version < self.version:
             return False
         self._objects = {stored.name: stored for stored in listing.objects}
-        self.version = listing.version
+        self.version = version
         self._log.clear()
         self._log_since = listing.version
         return True
@@ -73,12 +76,16 @@
         Returns:
             The changes that were new to the replica.
         """
-        if self.version is None or changes.version <= self.version:
+        if (
+            self.version is None
+            or changes.era != self.version.era
+            or changes.version <= self.version.revision
+        ):
             return ()
         new_changes = tuple(
             change for change in changes.changes if self._apply(change)
         )
-        self.version = changes.version
+        self.version = versions.Version(changes.era, changes.version)
         self._log.extend((changes.version, change) for change in new_changes)
         while len(self._log) > KEPT_CHANGES:
             self._log_since, _ = self._log.popleft()
@@ -97,14 +104,18 @@
         self._objects[change.object.name] = change.object
         return True
 
-    def delta(self, since: int | None) -> Delta | None:
-        """Returns the changes after version `since`; None if there are none."""
-        if self.version is None:
+    def delta(self, since: versions.Version | None) -> Delta | None:
+        """Returns the changes after version `since`; None if there are none.
+
+        All objects are returned for a version of an earlier era.
+        """
+        if self.version is None or (since is not None and since > self.version):
             return None
-        if since is None or since < self._log_since:
+        era = self.version.era
+        if since is None or since < versions.Version(era, self._log_since):
             return Delta(
                 kind=self.kind,
-                since=0,
+                since=versions.Version(era, 0),
                 version=self.version,
                 complete=True,
                 changes=tuple(
@@ -112,14 +123,14 @@
                     for stored in self._objects.values()
                 ),
             )
-        if since >= self.version:
+        if since == self.version:
             return None
         return Delta(
             kind=self.kind,
             since=since,
             version=self.version,
             complete=False,
-            changes=tuple(c for at, c in self._log if at > since),
+            changes=tuple(c for at, c in self._log if at > since.revision),
         )
 
     def can_apply(self, delta: Delta) -> bool:
@@ -128,4 +139,6 @@
             return delta.complete
         if delta.version <= self.version:
             return False
+        if delta.version.era != self.version.era:
+            return delta.complete
         return delta.complete or delta.since <= self.version
--- a/libs/direct/src/banyandale_direct/_replication.py
+++ b/libs/direct/src/banyandale_direct/_replication.py
@@ -13,6 +13,7 @@
 from banyandale_direct import _members as members
 from banyandale_direct import _readers as readers
 from banyandale_direct import _replicas as replicas
+from banyandale_direct import _versions as versions
 import banyandale_http as http
 import banyandale_platform as platform
 
@@ -43,7 +44,13 @@
 NOT_FOUND_STATUS = 404
 
 
-ListingConsumer = Callable[[str, tuple[platform.StoredObject, ...], int], None]
+ListingConsumer = Callable[
+    [str, tuple[platform.StoredObject, ...], versions.Version], None
+]
+ChangeConsumer = Callable[[platform.Change, int], None]
+Reconciler = Callable[
+    [str, tuple[platform.StoredObject, ...], platform.Listing], platform.Listing
+]
 
 
 class Replicator:
@@ -58,7 +65,9 @@
         peer_port: int,
         is_seed: bool,
         on_listing: ListingConsumer,
-        on_change: Callable[[platform.Change], None],
+        on_change: ChangeConsumer,
+        reconcile: Reconciler,
+        configuration_version: Callable[[], int],
         events: core.EventLog,
         metrics: core.Metrics,
         random_source: random.Random,
@@ -75,7 +84,11 @@
                 their settings.
             on_listing: Called with kind, all objects and version of a replaced
                 replica.
-            on_change: Called with each change of a replica.
+            on_change: Called with each change of a replica and its era.
+            reconcile: Called with kind, held objects and a listing of a later
+                era; returns the listing with what stays in force.
+            configuration_version: Returns the version that operators gave the
+                configuration in force.
             events: Log of the process.
             metrics: Counters of the process.
             random_source: Source of the jitter of pauses.
@@ -85,6 +98,10 @@
         self._peer_port = peer_port
         self._on_listing = on_listing
         self._on_change = on_change
+        self._reconcile = reconcile
+        self._configuration_version = configuration_version
+        # Newest configuration fetched from a gateway that held nothing newer.
+        self._fetched_configuration = 0
         self._events = events
         self._metrics = metrics
         self._random = random_source
@@ -105,7 +122,7 @@
         self._retry_at = 0.0
         self.gossip: gossip.Gossip | None = None
 
-    def held(self) -> dict[str, int]:
+    def held(self) -> dict[str, versions.Version]:
         """Returns the store version of each kind that has a replica."""
         return {
             kind: replica.version
@@ -174,8 +191,7 @@
             listing = await self._store.list(kind=replica.kind)
             self._metrics.incr(f"store_calls:list.{replica.kind}")
             self._expired.discard(replica.kind)
-            if replica.apply_listing(listing):
-                self._on_listing(replica.kind, listing.objects, listing.version)
+            if self._apply_listing(replica, listing):
                 await self.gossip.notify_zone(remote=True)
             else:
                 self._metrics.incr(f"listing_ignored:{replica.kind}")
@@ -195,17 +211,53 @@
         since = replica.version
         changes = await self._store.watch(
             kinds=(replica.kind,),
-            since=since,
+            since=since.revision,
             deadline=time.monotonic() + WATCH_SECONDS,
         )
+        if changes.era != since.era:
+            raise platform.WatchExpiredError(
+                f"the store is in era {changes.era}, the watch of"
+                f" {replica.kind!r} began in era {since.era}"
+            )
         new_changes = replica.apply_changes(changes)
         for change in new_changes:
-            self._on_change(change)
+            self._on_change(change, changes.era)
         if new_changes:
             delta = replica.delta(since)
             if delta is not None:
                 await self.gossip.notify_zone((delta,), remote=True)
 
+    def _apply_listing(
+        self, replica: replicas.Replica, listing: platform.Listing
+    ) -> bool:
+        """Applies a listing; returns whether it replaced the objects."""
+        known = replica.version
+        if known is not None and listing.era >= known.era:
+            if listing.era > known.era:
+                self._start_era(listing, kind=replica.kind)
+            listing = self._reconcile(replica.kind, replica.objects(), listing)
+        if not replica.apply_listing(listing):
+            return False
+        self._expired.discard(replica.kind)
+        self._on_listing(replica.kind, listing.objects, replica.version)
+        return True
+
+    def _start_era(self, listing: platform.Listing, *, kind: str) -> None:
+        """Marks all kinds as outdated, as the store came back from a copy."""
+        self._metrics.gauge("store_era", listing.era)
+        self._expired.update(
+            other
+            for other, version in self.held().items()
+            if version.era < listing.era
+        )
+        self._events.write_state(
+            "store_restored",
+            kind=kind,
+            store_era=listing.era,
+            store_version=listing.version,
+            held=self.held(),
+        )
+
     def _record_answer(self) -> None:
         self._pause = FIRST_PAUSE_SECONDS
         self._retry_at = 0.0
@@ -254,39 +306,70 @@
             replica = self._replicas.get(kind)
             if replica is None or kind in self._fetching:
                 continue
-            if replica.version is None or version > replica.version:
+            behind = replica.version is None or version > replica.version
+            if behind or self._lacks_configuration(digest, kind):
                 self._fetching.add(kind)
                 await curio.spawn(
-                    self._fetch, kind, digest.sender, relay, daemon=True
+                    self._fetch, kind, digest, behind, relay, daemon=True
                 )
 
-    async def _apply(self, delta: replicas.Delta, *, relay: bool) -> None:
+    def _lacks_configuration(self, digest: digests.Digest, kind: str) -> bool:
+        """Returns whether a gateway with the same replica has a newer one.
+
+        That is so while the store, back from a copy, lacks a configuration that
+        the other gateway has seen before.
+        """
+        newest = max(self._configuration_version(), self._fetched_configuration)
+        return (
+            kind == self._first_kind
+            and digest.configuration > newest
+            and digest.held[kind] == self._replicas[kind].version
+        )
+
+    async def _apply(
+        self, delta: replicas.Delta, *, relay: bool, again: bool = False
+    ) -> None:
         replica = self._replicas.get(delta.kind)
-        if replica is None or not replica.can_apply(delta):
+        if replica is None or not (again or replica.can_apply(delta)):
             return
         since = replica.version
+        era, revision = delta.version
         if delta.complete:
-            stored = tuple(change.object for change in delta.changes)
-            replica.apply_listing(
-                platform.Listing(version=delta.version, objects=stored)
+            listing = platform.Listing(
+                version=revision,
+                objects=tuple(change.object for change in delta.changes),
+                era=era,
             )
-            self._on_listing(delta.kind, stored, delta.version)
+            if not self._apply_listing(replica, listing):
+                return
         else:
-            for change in replica.apply_changes(
-                platform.Changes(version=delta.version, changes=delta.changes)
-            ):
-                self._on_change(change)
+            changes = platform.Changes(
+                version=revision, changes=delta.changes, era=era
+            )
+            for change in replica.apply_changes(changes):
+                self._on_change(change, era)
         if relay:
             relayed = replica.delta(since)
             await self.gossip.notify_zone((relayed,) if relayed else ())
 
-    async def _fetch(self, kind: str, ip: str, relay: bool) -> None:
-        """Fetches from another gateway the changes that a replica lacks."""
+    async def _fetch(
+        self, kind: str, digest: digests.Digest, behind: bool, relay: bool
+    ) -> None:
+        """Fetches objects from the sender of a digest.
+
+        Args:
+            kind: Kind of the objects.
+            digest: The digest.
+            behind: Whether the replica is behind; otherwise all objects are
+                fetched and replace those of the same store version.
+            relay: Whether to pass on what is new.
+        """
         deadline = time.monotonic() + FETCH_SECONDS
-        replica = self._replicas[kind]
+        ip = digest.sender
+        since = self._replicas[kind].version if behind else None
         target = f"{REPLICA_PATH}{kind}"
-        if replica.version is not None:
-            target += f"?since={replica.version}"
+        if since is not None:
+            target += f"?era={since.era}&since={since.revision}"
         connection = None
         try:
             connection = await http.ClientConnection.open(
@@ -299,8 +382,10 @@
             )
             if response.status == OK_STATUS:
                 delta = digests.decode_delta(response.body)
-                await self._apply(delta, relay=relay)
+                await self._apply(delta, relay=relay, again=not behind)
                 await self.gossip.notify_peers()
+            if not behind:
+                self._fetched_configuration = digest.configuration
             self._metrics.incr("copies_fetched")
         except (http.HttpError, digests.MalformedDigestError) as error:
             self._metrics.incr("copies_not_fetched")
@@ -318,8 +403,16 @@
         replica = self._replicas.get(path.removeprefix(REPLICA_PATH))
         if replica is None or not path.startswith(REPLICA_PATH):
             return http.Response(status=NOT_FOUND_STATUS)
-        since = parse.parse_qs(query).get("since", [""])[0]
-        delta = replica.delta(int(since) if since.isdigit() else None)
+        delta = replica.delta(_parse_version(query))
         if delta is None:
             return http.Response(status=NO_CONTENT_STATUS)
         return http.Response(status=OK_STATUS, body=digests.encode_delta(delta))
+
+
+def _parse_version(query: str) -> versions.Version | None:
+    fields = parse.parse_qs(query)
+    era = fields.get("era", ["0"])[0]
+    revision = fields.get("since", [""])[0]
+    if not (era.isdecimal() and revision.isdecimal()):
+        return None
+    return versions.Version(int(era), int(revision))
--- a/libs/direct/src/banyandale_direct/_store_updates.py
+++ b/libs/direct/src/banyandale_direct/_store_updates.py
@@ -1,6 +1,7 @@
 """Applies the store's objects to the gateway's configuration and servers."""
 
 from collections.abc import Callable
+import dataclasses
 import time
 
 import banyandale_core as core
@@ -8,8 +9,11 @@
 from banyandale_direct import _protocols as protocols
 from banyandale_direct import _registry as registry
 from banyandale_direct import _settings as settings
+from banyandale_direct import _versions as versions
 import banyandale_platform as platform
 
+MAX_CONFIGURATION_VERSION = 2**64 - 1
+
 
 def report_rejected(
     stored: platform.StoredObject,
@@ -59,6 +63,13 @@
         self._metrics = metrics
         self._version: int | None = None
 
+    def configuration_version(self) -> int:
+        """Returns the operators' version of the configuration in force.
+
+        0 if there is none.
+        """
+        return min(max(self._version or 0, 0), MAX_CONFIGURATION_VERSION)
+
     def kinds(self) -> tuple[str, ...]:
         """Returns the kinds to replicate, the most urgent first."""
         return (
@@ -71,7 +82,7 @@
         self,
         kind: str,
         objects: tuple[platform.StoredObject, ...],
-        version: int,
+        version: versions.Version,
     ) -> None:
         """Applies a listing of all objects of a kind at a store version."""
         if kind == self._documents.configuration_kind:
@@ -80,18 +91,70 @@
         elif kind == self._documents.server_kind:
             self._replace_servers(objects, version)
         else:
-            self._set_zones_out({stored.name for stored in objects}, version)
+            self._replace_zones_out(
+                {stored.name for stored in objects}, version
+            )
+
+    def reconcile(
+        self,
+        kind: str,
+        held: tuple[platform.StoredObject, ...],
+        listing: platform.Listing,
+    ) -> platform.Listing:
+        """Returns a listing with the configuration that stays in force.
+
+        A store that is back from a copy lacks the newest configurations until
+        the operators have written them again. The newest one known takes the
+        place of the listed one, as if it had been written at its version.
+        """
+        if kind != self._documents.configuration_kind:
+            return listing
+        listed = self._find_configuration(listing.objects)
+        newest = self._find_configuration(held)
+        if newest is None or (listed is not None and listed >= newest):
+            return listing
+        kept = []
+        names = {stored.name: stored for stored in listing.objects}
+        for stored in held:
+            if self._find_configuration((stored,)) is not None:
+                known = names.get(stored.name)
+                version = listing.version if known is None else known.version
+                kept.append(dataclasses.replace(stored, version=version))
+                names.pop(stored.name, None)
+        self._events.write_state(
+            "configuration_kept",
+            version=newest,
+            listed=listed,
+            store_era=listing.era,
+            store_version=listing.version,
+        )
+        return dataclasses.replace(listing, objects=(*names.values(), *kept))
+
+    def _find_configuration(
+        self, objects: tuple[platform.StoredObject, ...]
+    ) -> int | None:
+        """Returns the highest version of the valid configurations."""
+        found = []
+        for stored in objects:
+            try:
+                read = self._documents.read_configuration(stored)
+            except protocols.MalformedEntryError:
+                continue
+            if read is not None:
+                found.append(read.version)
+        return max(found, default=None)
 
-    def apply_change(self, change: platform.Change) -> None:
-        """Applies one change."""
+    def apply_change(self, change: platform.Change, era: int) -> None:
+        """Applies one change of an era of the store."""
+        version = versions.Version(era, change.object.version)
         kind = change.object.kind
         if kind == self._documents.configuration_kind:
             if change.type is platform.ChangeType.PUT:
                 self._apply_configuration(change.object)
         elif kind == self._documents.server_kind:
-            self._change_server(change)
+            self._change_server(change, version)
         else:
-            self._change_zone(change)
+            self._change_zone(change, version)
 
     def _apply_configuration(self, stored: platform.StoredObject) -> None:
         try:
@@ -126,19 +189,27 @@
             return None
 
     def _replace_servers(
-        self, objects: tuple[platform.StoredObject, ...], version: int
+        self,
+        objects: tuple[platform.StoredObject, ...],
+        version: versions.Version,
     ) -> None:
         read = [(self._read_server(stored), stored) for stored in objects]
         self._servers.replace(
-            [(server, stored.version) for server, stored in read if server],
+            [
+                (server, versions.Version(version.era, stored.version))
+                for server, stored in read
+                if server
+            ],
             version=version,
             now=time.monotonic(),
         )
         self._events.write_state(
-            "servers_listed", servers=len(objects), store_version=version
+            "servers_listed", servers=len(objects), **_describe(version)
         )
 
-    def _change_server(self, change: platform.Change) -> None:
+    def _change_server(
+        self, change: platform.Change, version: versions.Version
+    ) -> None:
         now = time.monotonic()
         stored = change.object
         server = None
@@ -146,11 +217,11 @@
             server = self._read_server(stored)
         if server is None:
             changed = self._servers.remove(
-                stored.name, version=stored.version, now=now
+                stored.name, version=version, now=now
             )
             state = "gone"
         else:
-            changed = self._servers.put(server, version=stored.version, now=now)
+            changed = self._servers.put(server, version=version, now=now)
             state = "leaving" if server.leaving else "ready"
         if changed:
             self._events.write(
@@ -159,21 +230,30 @@
                 state=state,
                 service=server.service if server else None,
                 cold_seconds=server.cold_seconds if server else None,
-                store_version=stored.version,
+                **_describe(version),
             )
 
-    def _change_zone(self, change: platform.Change) -> None:
+    def _change_zone(
+        self, change: platform.Change, version: versions.Version
+    ) -> None:
         zones = set(self._servers.zones_out)
         if change.type is platform.ChangeType.PUT:
             zones.add(change.object.name)
         else:
             zones.discard(change.object.name)
-        self._set_zones_out(zones, change.object.version)
+        self._set_zones_out(zones, version)
 
-    def _set_zones_out(self, zones: set[str], version: int) -> None:
+    def _set_zones_out(
+        self, zones: set[str], version: versions.Version
+    ) -> None:
         if zones == self._servers.zones_out:
             return
         self._servers.set_zones_out(zones)
         self._events.write_state(
-            "zones_out", zones=sorted(zones), store_version=version
+            "zones_out", zones=sorted(zones), **_describe(version)
         )
+
+
+def _describe(version: versions.Version) -> dict[str, int]:
+    """Returns the log fields of a store version."""
+    return {"store_era": version.era, "store_version": version.revision}
--- a/libs/direct/src/banyandale_direct/members.capnp
+++ b/libs/direct/src/banyandale_direct/members.capnp
@@ -18,6 +18,8 @@
   deltas @4 :List(Delta);
   # What servers last said about their limits.
   limits @5 :List(NamedLimit);
+  # Version that operators gave the configuration in force; 0 without one.
+  configuration @6 :UInt64;
 }
 
 struct NamedLimit {
@@ -35,10 +37,13 @@
 
 struct Held {
   kind @0 :Text;
+  # Revision of the store.
   version @1 :UInt64;
+  # Number of times that the store came back from an older copy.
+  era @2 :UInt64;
 }
 
-# Changes of one kind after the version `since`, up to `version`.
+# Changes of one kind after the revision `since`, up to `version`.
 struct Delta {
   kind @0 :Text;
   since @1 :UInt64;
@@ -46,6 +51,8 @@
   # Whether `items` contains all objects of the kind instead of changes.
   complete @3 :Bool;
   items @4 :List(Item);
+  # Era of the revisions.
+  era @5 :UInt64;
 }
 
 struct Item {
--- a/libs/direct/tests/test_channels.py
+++ b/libs/direct/tests/test_channels.py
@@ -9,6 +9,7 @@
 from banyandale_direct import _configuration as configuration
 from banyandale_direct import _placement as placement
 from banyandale_direct import _registry as registry
+from banyandale_direct import _versions as versions
 import banyandale_http as http
 
 SERVICE = configuration.Service(
@@ -42,7 +43,7 @@
         server=registry.Server(
             id="a", address=address, service="s", zone="z", slots=2
         ),
-        version=1,
+        version=versions.Version(0, 1),
         cold_until=0.0,
     )
 
--- a/libs/direct/tests/test_digests.py
+++ b/libs/direct/tests/test_digests.py
@@ -5,6 +5,7 @@
 from banyandale_direct import _digests as digests
 from banyandale_direct import _members as members
 from banyandale_direct import _replicas as replicas
+from banyandale_direct import _versions as versions
 import banyandale_platform as platform
 
 ZONES = ("a", "b")
@@ -17,8 +18,8 @@
 def make_delta(kind="servers"):
     return replicas.Delta(
         kind=kind,
-        since=3,
-        version=5,
+        since=versions.Version(2, 3),
+        version=versions.Version(2, 5),
         complete=False,
         changes=(
             platform.Change(
@@ -51,7 +52,8 @@
                 ready=True,
             ),
         ),
-        held={"servers": 5},
+        held={"servers": versions.Version(2, 5)},
+        configuration=7,
         deltas=(make_delta(),),
     )
     data = digests.encode_digest(digest)
@@ -101,7 +103,11 @@
         ),
     )
     delta = replicas.Delta(
-        kind="config", since=3, version=5, complete=False, changes=(change,)
+        kind="config",
+        since=versions.Version(0, 3),
+        version=versions.Version(0, 5),
+        complete=False,
+        changes=(change,),
     )
     data = digests.encode_delta(delta)
     assert digests.decode_delta(data) == delta
--- a/libs/direct/tests/test_forwarding.py
+++ b/libs/direct/tests/test_forwarding.py
@@ -15,6 +15,7 @@
 from banyandale_direct import _protocols as protocols
 from banyandale_direct import _registry as registry
 from banyandale_direct import _selection as selection
+from banyandale_direct import _versions as versions
 import banyandale_http as http
 
 ROUTE = configuration.Route(
@@ -126,7 +127,7 @@
         server=registry.Server(
             id="i", address="127.0.0.1:1", service="s", zone="z", slots=2
         ),
-        version=4,
+        version=versions.Version(0, 4),
         cold_until=0.0,
     )
     report = placement.LoadReport(healthy=True, running=2, slots=2, slowness=4)
--- a/libs/direct/tests/test_placement.py
+++ b/libs/direct/tests/test_placement.py
@@ -5,6 +5,7 @@
 from banyandale_direct import _placement as placement
 from banyandale_direct import _registry as registry
 from banyandale_direct import _server_health as server_health
+from banyandale_direct import _versions as versions
 
 WORK = 0.22
 DEMAND = placement.Demand(work_seconds=WORK, transfer_bytes=400.0)
@@ -16,7 +17,7 @@
         server=registry.Server(
             id=name, address="127.0.0.1:80", service="s", zone=zone, slots=2
         ),
-        version=1,
+        version=versions.Version(0, 1),
         cold_until=0.0,
     )
 
--- a/libs/direct/tests/test_replicas.py
+++ b/libs/direct/tests/test_replicas.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies
 
 from banyandale_direct import _replicas as replicas
+from banyandale_direct import _versions as versions
 import banyandale_platform as platform
 
 KIND = "servers"
@@ -16,14 +17,30 @@
     )
 
 
+def at(version, steps):
+    return version._replace(revision=version.revision + steps)
+
+
+def apply_all(stored, changes):
+    result = dict(stored)
+    for change in changes:
+        if change.type is platform.ChangeType.PUT:
+            result[change.object.name] = change.object
+        else:
+            result.pop(change.object.name)
+    return result
+
+
 class CopiesMachine(stateful.RuleBasedStateMachine):
     """A store, a replica that reads it and replicas that read each other."""
 
     def __init__(self):
         super().__init__()
-        self.version = 1
+        self.version = versions.Version(0, 1)
         self.stored = {}
+        # Changes of all eras: those of an era follow its copy.
         self.log = []
+        self.copies_of_eras = {0: (1, {})}
         self.copies = [replicas.Replica(kind=KIND) for _ in range(3)]
         self.lists()
 
@@ -33,35 +50,56 @@
     def change(self, name, delete):
         if delete and name not in self.stored:
             return
-        self.version += 1
+        self.version = at(self.version, 1)
         if delete:
             # A deletion carries the version of the last write.
             change = platform.Change(
                 type=platform.ChangeType.DELETE, object=self.stored.pop(name)
             )
         else:
-            self.stored[name] = make_object(name, self.version)
+            self.stored[name] = make_object(name, self.version.revision)
             change = platform.Change(
                 type=platform.ChangeType.PUT, object=self.stored[name]
             )
         self.log.append((self.version, change))
 
+    @stateful.rule(lost=strategies.integers(0, 4))
+    def restore(self, lost):
+        """The store comes back from a copy and lacks the latest changes."""
+        era, revision = self.version
+        first, stored = self.copies_of_eras[era]
+        kept = [entry for entry in self.log if entry[0].era == era]
+        kept = kept[: max(len(kept) - lost, 0)]
+        stored = apply_all(stored, [change for _, change in kept])
+        revision = kept[-1][0].revision if kept else first
+        self.version = versions.Version(era + 1, revision)
+        self.copies_of_eras[era + 1] = (revision, stored)
+        self.stored = dict(stored)
+
     @stateful.rule()
     def lists(self):
         self.copies[0].apply_listing(
             platform.Listing(
-                version=self.version, objects=tuple(self.stored.values())
+                version=self.version.revision,
+                objects=tuple(self.stored.values()),
+                era=self.version.era,
             )
         )
 
     @stateful.rule(back=strategies.integers(0, 3))
     def watches(self, back):
         """Applies a watch result whose changes are partly known."""
-        since = max(self.copies[0].version - back, 1)
+        era, revision = self.version
+        since = max(self.copies[0].version.revision - back, 1)
         self.copies[0].apply_changes(
             platform.Changes(
-                version=self.version,
-                changes=tuple(c for at, c in self.log if at > since),
+                version=revision,
+                changes=tuple(
+                    change
+                    for changed_at, change in self.log
+                    if changed_at.era == era and changed_at.revision > since
+                ),
+                era=era,
             )
         )
 
@@ -76,13 +114,18 @@
         if delta.complete:
             copy.apply_listing(
                 platform.Listing(
-                    version=delta.version,
+                    version=delta.version.revision,
                     objects=tuple(c.object for c in delta.changes),
+                    era=delta.version.era,
                 )
             )
         else:
             copy.apply_changes(
-                platform.Changes(version=delta.version, changes=delta.changes)
+                platform.Changes(
+                    version=delta.version.revision,
+                    changes=delta.changes,
+                    era=delta.version.era,
+                )
             )
         assert copy.version == self.copies[giver].version
 
@@ -92,14 +135,16 @@
         for copy in self.copies:
             if copy.version is None:
                 continue
-            expected = {}
-            for at, change in self.log:
-                if at > copy.version:
-                    break
-                if change.type is platform.ChangeType.PUT:
-                    expected[change.object.name] = change.object
-                else:
-                    expected.pop(change.object.name)
+            era = copy.version.era
+            _, stored = self.copies_of_eras[era]
+            expected = apply_all(
+                stored,
+                [
+                    change
+                    for changed_at, change in self.log
+                    if changed_at.era == era and changed_at <= copy.version
+                ],
+            )
             assert {o.name: o for o in copy.objects()} == expected
 
 
@@ -125,7 +170,7 @@
                 ),
             )
         )
-    assert source.delta(1).complete
-    recent = source.delta(source.version - 1)
+    assert source.delta(versions.Version(0, 1)).complete
+    recent = source.delta(at(source.version, -1))
     assert not recent.complete
     assert len(recent.changes) == 1
