direct: keep servers that left unused after the store was restored

Callers would see calls to servers that are gone, or that have announced their departure: the copy from which the store comes back still has their entries, as ready, until the servers write again or their entries expire.

Cause: entries were ordered by the store's versions alone. Across eras they are now ordered by what the server says of itself: the start of its process and the number of its report. An entry of a later era that is older than what is known, or that names a server which was gone by then, is held back: it is used when the server reports again, or if it is still there after 15 s. Servers that are gone are remembered for 60 s. Within an era, the store's order counts as before.

--- a/libs/direct/src/banyandale_direct/_registry.py
+++ b/libs/direct/src/banyandale_direct/_registry.py
@@ -10,6 +10,13 @@
 # seconds after it ends; the strictest requirement allows calls to a server for
 # two seconds after it left.
 VANISHED_GRACE_SECONDS = 1.2
+# A server that is gone is remembered for this long, in case the store comes
+# back from a copy that still has its entry.
+REMEMBER_GONE_SECONDS = 60.0
+# An entry from a copy that contradicts what is known is used if it is still
+# there after this long. The users' platform removes the entry of a server that
+# is gone after three heartbeats of silence.
+HOLD_BACK_SECONDS = 15.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -26,6 +33,7 @@
         cold_seconds: Remaining time of its cold start.
         started_unix_ms: Start time; a different value under the same id means a
             different process.
+        report: Number of the report, counted by the process itself.
     """
 
     id: str
@@ -36,6 +44,12 @@
     leaving: bool = False
     cold_seconds: float = 0.0
     started_unix_ms: int = 0
+    report: int = 0
+
+    @property
+    def statement(self) -> tuple[int, int]:
+        """Order of what the server says of itself, whatever the store."""
+        return self.started_unix_ms, self.report
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -56,11 +70,29 @@
     vanished_at: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _HeldBack:
+    """An entry from a copy that contradicts what is known.
+
+    Attributes:
+        server: The server as it describes itself there.
+        version: Store version of the entry.
+        use_at: Monotonic seconds from which it is used.
+    """
+
+    server: Server
+    version: versions.Version
+    use_at: float
+
+
 class Registry:
     """All known servers and the zones that are out of service."""
 
     def __init__(self) -> None:
         self._entries: dict[str, Entry] = {}
+        # Servers that are gone, and entries that would bring them back.
+        self._gone: dict[str, Entry] = {}
+        self._held_back: dict[str, _HeldBack] = {}
         self._zones_out: frozenset[str] = frozenset()
         self.loaded = False
 
@@ -77,14 +109,24 @@
         self, server: Server, *, version: versions.Version, now: float
     ) -> bool:
         """Stores an entry; returns whether it differs from the known one."""
-        known = self._entries.get(server.id)
+        known = self._entries.get(server.id) or self._gone.get(server.id)
         if known is not None and known.version > version:
             return False
+        if known is not None and _is_outdated(server, version, known):
+            held = self._held_back.get(server.id)
+            self._held_back[server.id] = _HeldBack(
+                server=server,
+                version=version,
+                use_at=held.use_at if held else now + HOLD_BACK_SECONDS,
+            )
+            return False
+        self._held_back.pop(server.id, None)
+        self._gone.pop(server.id, None)
         changed = (
             known is None
             or known.vanished_at is not None
-            or dataclasses.replace(known.server, cold_seconds=0.0)
-            != dataclasses.replace(server, cold_seconds=0.0)
+            or dataclasses.replace(known.server, cold_seconds=0.0, report=0)
+            != dataclasses.replace(server, cold_seconds=0.0, report=0)
         )
         self._entries[server.id] = Entry(
             server=server, version=version, cold_until=now + server.cold_seconds
@@ -95,6 +137,7 @@
         self, server_id: str, *, version: versions.Version, now: float
     ) -> bool:
         """Marks an entry as vanished; returns whether it was known."""
+        self._held_back.pop(server_id, None)
         known = self._entries.get(server_id)
         if known is None or known.vanished_at is not None:
             return False
@@ -116,7 +159,8 @@
         for server, server_version in servers:
             present.add(server.id)
             self.put(server, version=server_version, now=now)
-        for server_id in self._entries.keys() - present:
+        known = self._entries.keys() | self._held_back.keys()
+        for server_id in known - present:
             self.remove(server_id, version=version, now=now)
         self.loaded = True
 
@@ -127,6 +171,7 @@
         vanished are included for a short time if no others are left.
         """
         self._forget_vanished(now)
+        self._use_held_back(now)
         usable = [
             entry
             for entry in self._entries.values()
@@ -145,7 +190,21 @@
             and now >= entry.vanished_at + VANISHED_GRACE_SECONDS
         ]
         for server_id in gone:
-            del self._entries[server_id]
+            self._gone[server_id] = self._entries.pop(server_id)
+        while self._gone:
+            oldest = next(iter(self._gone))
+            if now < self._gone[oldest].vanished_at + REMEMBER_GONE_SECONDS:
+                return
+            del self._gone[oldest]
+
+    def _use_held_back(self, now: float) -> None:
+        due = [h for h in self._held_back.values() if now >= h.use_at]
+        for held in due:
+            del self._held_back[held.server.id]
+            self._gone.pop(held.server.id, None)
+            self._entries[held.server.id] = Entry(
+                server=held.server, version=held.version, cold_until=now
+            )
 
     def is_usable(self, server_id: str) -> bool:
         """Returns whether a server found earlier may still get calls."""
@@ -162,3 +221,18 @@
             server_id: entry.server.address
             for server_id, entry in self._entries.items()
         }
+
+
+def _is_outdated(
+    server: Server, version: versions.Version, known: Entry
+) -> bool:
+    """Returns whether an entry of a later era is from before a known one.
+
+    A store that is back from a copy may still have the entry of a server that
+    has announced its departure, or is gone, since.
+    """
+    if version.era == known.version.era:
+        return False
+    if known.vanished_at is not None:
+        return server.statement <= known.server.statement
+    return server.statement < known.server.statement
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -39,6 +39,7 @@
         leaving=True,
         cold_seconds=1.5,
         started_unix_ms=1_787_000_000_000,
+        report=1,
     )
 
 
