tests: replicas do not join two eras

Two tests of their own now fail if changes or deltas of another era are applied, and the machine makes several changes per step.

--- a/libs/direct/tests/test_replicas.py
+++ b/libs/direct/tests/test_replicas.py
@@ -45,9 +45,14 @@
         self.lists()
 
     @stateful.rule(
-        name=strategies.sampled_from("abcd"), delete=strategies.booleans()
+        names=strategies.text("abcd", min_size=1, max_size=6),
+        delete=strategies.booleans(),
     )
-    def change(self, name, delete):
+    def change(self, names, delete):
+        for name in names:
+            self._change(name, delete)
+
+    def _change(self, name, delete):
         if delete and name not in self.stored:
             return
         self.version = at(self.version, 1)
@@ -174,3 +179,41 @@
     recent = source.delta(at(source.version, -1))
     assert not recent.complete
     assert len(recent.changes) == 1
+
+
+def test_changes_of_another_era_are_not_applied():
+    """Guards against a replica that joins two histories of the store."""
+    change = platform.Change(
+        type=platform.ChangeType.PUT, object=make_object("b", 12)
+    )
+    for era in (0, 2):
+        copy = replicas.Replica(kind=KIND)
+        listed = (make_object("a", 10),)
+        copy.apply_listing(platform.Listing(version=10, objects=listed, era=1))
+        changes = platform.Changes(version=12, changes=(change,), era=era)
+        assert copy.apply_changes(changes) == ()
+        delta = replicas.Delta(
+            kind=KIND,
+            since=versions.Version(era, 10),
+            version=versions.Version(era, 12),
+            complete=False,
+            changes=(change,),
+        )
+        assert not copy.can_apply(delta)
+        assert copy.objects() == listed
+
+
+def test_a_replica_of_an_earlier_era_gets_everything():
+    """Guards against changes after a revision that means something else."""
+    source = replicas.Replica(kind=KIND)
+    source.apply_listing(
+        platform.Listing(version=5, objects=(make_object("a", 3),), era=1)
+    )
+    delta = source.delta(versions.Version(0, 5))
+    assert delta.complete
+    ahead = replicas.Replica(kind=KIND)
+    ahead.apply_listing(platform.Listing(version=50, objects=(), era=0))
+    assert ahead.can_apply(delta)
+    assert source.delta(versions.Version(2, 1)) is None
+    older = ahead.delta(None)
+    assert not source.can_apply(older)
