direct: keep zones out of service after the store was restored

Callers would be sent to a zone that operators had taken out of service: the copy from which the store comes back may lack that, until they write it again.

Cause: the listing of a later era replaced the set of zones at once. A zone that was out then stays out for 10 s, or until the store says something of it. A zone that the copy has out of service is out at once.

--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -281,6 +281,7 @@
             await curio.sleep(HOUSEKEEPING_SECONDS)
             self._reload("file")
             self._events.flush()
+            self._store_updates.expire_kept_zones()
             addresses = self._registry.addresses()
             known = frozenset(addresses)
             self._shared.server_health.keep_only(known)
--- a/libs/direct/src/banyandale_direct/_store_updates.py
+++ b/libs/direct/src/banyandale_direct/_store_updates.py
@@ -12,6 +12,9 @@
 from banyandale_direct import _versions as versions
 import banyandale_platform as platform
 
+# Zones that were out of service when the store came back from a copy without
+# them stay so for this long, until the operators have written them again.
+KEEP_ZONES_SECONDS = 10.0
 MAX_CONFIGURATION_VERSION = 2**64 - 1
 
 
@@ -62,6 +65,10 @@
         self._events = events
         self._metrics = metrics
         self._version: int | None = None
+        self._zones_era = 0
+        # Zones that stay out of service although the store lacks them.
+        self._kept_zones: frozenset[str] = frozenset()
+        self._keep_zones_until = 0.0
 
     def configuration_version(self) -> int:
         """Returns the operators' version of the configuration in force.
@@ -233,10 +240,30 @@
                 **_describe(version),
             )
 
+    def _replace_zones_out(
+        self, listed: set[str], version: versions.Version
+    ) -> None:
+        now = time.monotonic()
+        if version.era > self._zones_era:
+            self._zones_era = version.era
+            self._kept_zones = self._servers.zones_out - listed
+            self._keep_zones_until = now + KEEP_ZONES_SECONDS
+        if now >= self._keep_zones_until:
+            self._kept_zones = frozenset()
+        self._set_zones_out(listed | self._kept_zones, version)
+
+    def expire_kept_zones(self) -> None:
+        """Returns zones to service that the operators did not write again."""
+        if self._kept_zones and time.monotonic() >= self._keep_zones_until:
+            version = versions.Version(self._zones_era, 0)
+            kept, self._kept_zones = self._kept_zones, frozenset()
+            self._set_zones_out(set(self._servers.zones_out - kept), version)
+
     def _change_zone(
         self, change: platform.Change, version: versions.Version
     ) -> None:
         zones = set(self._servers.zones_out)
+        self._kept_zones -= {change.object.name}
         if change.type is platform.ChangeType.PUT:
             zones.add(change.object.name)
         else:
