direct: write a gateway's entry again when the store has lost it

Gateways whose seed addresses are stale find each other by these entries. A gateway remembered that it had written its own and never looked again, so that an entry lost with the latest changes of the store stayed lost. The round that lists the entries now writes the own one if it is missing; a restart finds it and writes nothing.

Also: one check less in Replica.can_apply, which the order of versions already makes.

--- a/libs/direct/src/banyandale_direct/_registration.py
+++ b/libs/direct/src/banyandale_direct/_registration.py
@@ -45,7 +45,6 @@
         self._events = events
         self._metrics = metrics
         self._random = random_source
-        self._written = False
 
     async def run(self) -> None:
         """Writes and reads the entries in an endless loop."""
@@ -75,11 +74,12 @@
                 await curio.sleep(READ_SECONDS)
 
     async def _exchange_entries(self) -> None:
-        if not self._written:
-            await self._write_entry()
-            self._written = True
         listing = await self._store.list(kind=self._documents.member_kind)
         self._metrics.incr(f"store_calls:list.{self._documents.member_kind}")
+        names = {stored.name for stored in listing.objects}
+        if self._table.own.ip not in names:
+            # Not written yet, or lost by the store.
+            await self._write_entry()
         others = []
         for stored in listing.objects:
             try:
@@ -101,5 +101,5 @@
         try:
             await self._store.create(kind=kind, name=own.ip, value=value)
         except platform.ConflictError:
-            # The entry exists already, with the same content.
+            # A write whose response was lost; the content is the same.
             return
--- a/libs/direct/src/banyandale_direct/_replicas.py
+++ b/libs/direct/src/banyandale_direct/_replicas.py
@@ -139,6 +139,4 @@
             return delta.complete
         if delta.version <= self.version:
             return False
-        if delta.version.era != self.version.era:
-            return delta.complete
         return delta.complete or delta.since <= self.version
