--- a/libs/direct/tests/test_registration.py
+++ b/libs/direct/tests/test_registration.py
@@ -48,7 +48,7 @@
 
 
 def test_an_entry_that_the_store_has_lost_is_written_again():
-    """Guards against gateways that nobody finds after the store was restored."""
+    """Guards against gateways that nobody finds any more."""
 
     async def main():
         store = testing.MemoryStore()
--- a/tests/adapter/test_restored_store.py
+++ b/tests/adapter/test_restored_store.py
@@ -1,5 +1,7 @@
 """Tests of a store that comes back from an older copy, with real processes."""
 
+import signal
+
 import curio
 import deployments
 
@@ -80,3 +82,51 @@
         assert set(await get_statuses(deployment, ips, "/new3/x")) == {200}
 
     deployments.run(tmp_path, scenario, GATEWAYS)
+
+
+def test_a_gateway_that_starts_after_a_restore_serves_what_was_confirmed(
+    tmp_path,
+):
+    """Guards against a start that brings back an older configuration."""
+
+    async def scenario(deployment, *ips):
+        copy = deployment.store.store.copy()
+        await deployment.configure(2, RULES_2)
+        await wait_until_served(deployment, ips, "/new2/x")
+        await restore_store(deployment, copy)
+        await curio.sleep(0.5)
+        started = "127.0.7.4"
+        deployment.start_gateway(started)
+        await deployment.wait_ready(started)
+        await curio.sleep(IN_FORCE_SECONDS)
+        everyone = (*ips, started)
+        assert set(await get_statuses(deployment, everyone, "/new2/x")) == {200}
+
+    deployments.run(tmp_path, scenario, GATEWAYS[:2])
+
+
+def test_a_gateway_that_was_frozen_does_not_bring_back_the_old_history(
+    tmp_path,
+):
+    """Guards against versions of before the restore that pass for newer."""
+
+    async def scenario(deployment, *ips):
+        copy = deployment.store.store.copy()
+        for server in deployment.servers:
+            await deployment.register(server, note="later")
+        await deployment.configure(2, RULES_2)
+        await wait_until_served(deployment, ips, "/new2/x")
+        frozen = deployment.processes[ips[0]]
+        frozen.send_signal(signal.SIGSTOP)
+        await restore_store(deployment, copy)
+        await deployment.configure(2, RULES_2)
+        await deployment.configure(3, RULES_3)
+        await wait_until_served(deployment, ips[1:], "/new3/x")
+        frozen.send_signal(signal.SIGCONT)
+        for _ in range(20):
+            statuses = await get_statuses(deployment, ips[1:], "/new3/x")
+            assert set(statuses) == {200}
+            await curio.sleep(IN_FORCE_SECONDS / 20)
+        assert set(await get_statuses(deployment, ips, "/new3/x")) == {200}
+
+    deployments.run(tmp_path, scenario, GATEWAYS)
