direct: let gateways of other zones help a zone that has few

Change: gateways of the server's zone come first, then those of all others, up to the same number of senders. Silent gateways of the zone keep their ranks before the others while they are known, so that both parts of a cut fleet together have no more senders than the whole.

A try, not committed: several calls per interval for each of the few senders.

--- a/libs/direct/src/banyandale_direct/_cold_limits.py
+++ b/libs/direct/src/banyandale_direct/_cold_limits.py
@@ -2,10 +2,10 @@
 
 Load pattern: a zone returns after an outage and all its servers are cold, or a
 service is replaced server by server. A cold server fails when it gets many more
-calls per second than its limit, counted over all gateways. A few gateways of
-the server's zone (`_senders`) may send to it, each at most once per interval.
-The limit therefore holds without coordination, and a gateway with a wrong view
-of the live gateways adds at most one call per interval.
+calls per second than its limit, counted over all gateways. A few gateways
+(`_senders`) may send to it, each at most once per interval. The limit therefore
+holds without coordination, and a gateway with a wrong view of the live gateways
+adds at most one call per interval.
 """
 
 import math
--- a/libs/direct/src/banyandale_direct/_named_limits.py
+++ b/libs/direct/src/banyandale_direct/_named_limits.py
@@ -129,9 +129,8 @@
             return None
         return notice.calls_per_second
 
-    def _share(self, server: registry.Server, limit: float) -> Share:
-        gateways = self._election.count_candidates(server.zone)
-        return divide(limit, gateways=gateways)
+    def _divide(self, limit: float) -> Share:
+        return divide(limit, gateways=self._election.count_candidates())
 
     def next_send_at(
         self, server: registry.Server, *, boot_now: float
@@ -143,7 +142,7 @@
         limit = self.find(server)
         if limit is None:
             return 0.0
-        share = self._share(server, limit)
+        share = self._divide(limit)
         if not self._election.is_sender(
             server,
             count=share.senders,
@@ -175,7 +174,7 @@
         server = min(servers, key=lambda server: times[server.id], default=None)
         if server is None or times[server.id] == math.inf:
             return None
-        share = self._share(server, self.find(server) or 0.0)
+        share = self._divide(self.find(server) or 0.0)
         return Turn(
             server_id=server.id,
             at=max(times[server.id], now),
--- a/libs/direct/src/banyandale_direct/_senders.py
+++ b/libs/direct/src/banyandale_direct/_senders.py
@@ -2,9 +2,11 @@
 
 Load pattern: a server takes few calls per second from all gateways together,
 while gateways start, stop, freeze and see different sets of live gateways. A
-few gateways of the server's zone, chosen by rendezvous hashing, share its
-limit, so that no message is needed per call. A gateway counts as a sender only
-after all its views of the live gateways agreed on it for some time: by then the
+few gateways, chosen by rendezvous hashing, share its limit, so that no message
+is needed per call. Those of the server's zone come first and keep their ranks
+while they are silent, so that the parts of a fleet that is cut between zones
+elect no more senders than the whole. A gateway counts as a sender only after
+all its views of the live gateways agreed on it for some time: by then the
 gateway that it replaces has noticed, and that one's calls are no longer recent.
 """
 
@@ -31,14 +33,18 @@
         since: Time of the view, in seconds of the boot clock.
         live: IP addresses of the live gateways of each zone.
         known: Number of gateways of each zone, silent ones included.
-        ranks: Own rank for the servers asked for so far, by id; infinite for
-            a server of a zone with gateways of its own.
+        ranks: Own rank for the servers asked for so far, by id.
     """
 
     since: float
     live: dict[str, frozenset[str]]
     known: dict[str, int]
-    ranks: dict[str, float] = dataclasses.field(default_factory=dict)
+    ranks: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    @property
+    def count(self) -> int:
+        """Number of gateways, silent ones included."""
+        return sum(self.known.values())
 
 
 class SenderElection:
@@ -89,19 +95,9 @@
     def _is_stale(self, now: float) -> bool:
         return now - self._updated_at > STALE_SECONDS
 
-    def count_candidates(self, zone: str) -> int:
-        """Returns how many gateways may be senders for a zone's servers.
-
-        Silent gateways are included, and of the recent views the one with most
-        of them counts.
-        """
-        return max(
-            (
-                view.known.get(zone) or sum(view.known.values())
-                for view in self._views
-            ),
-            default=0,
-        )
+    def count_candidates(self) -> int:
+        """Returns the largest number of gateways known in recent views."""
+        return max((view.count for view in self._views), default=0)
 
     def count_gateways(self, *, stable_seconds: float, now: float) -> float:
         """Returns the largest number of gateways known in recent views.
@@ -116,7 +112,7 @@
         since = now - min(stable_seconds, MAX_STABLE_SECONDS)
         if self._is_stale(now) or self._views[0].since > since:
             return math.inf
-        return max(sum(view.known.values()) for view in self._views)
+        return self.count_candidates()
 
     def is_sender(
         self,
@@ -144,25 +140,23 @@
                 break
         return True
 
-    def _rank(self, view: _View, server: registry.Server) -> float:
+    def _rank(self, view: _View, server: registry.Server) -> int:
         rank = view.ranks.get(server.id)
         if rank is None:
-            candidates = self._candidates(view, server.zone)
+            local = view.live.get(server.zone, frozenset())
             own = rendezvous.weigh(self._own_ip, server.id)
-            rank = float(
-                sum(rendezvous.weigh(ip, server.id) > own for ip in candidates)
+            if self._own_ip in local:
+                candidates, rank = local, 0
+            else:
+                # Silent gateways of the server's zone may still be sending.
+                candidates = frozenset().union(*view.live.values()) - local
+                rank = view.known.get(server.zone, 0)
+            rank += sum(
+                rendezvous.weigh(ip, server.id) > own for ip in candidates
             )
-            if self._own_ip not in candidates:
-                rank = math.inf
             view.ranks[server.id] = rank
         return rank
 
-    def _candidates(self, view: _View, zone: str) -> frozenset[str]:
-        # The gateways of a zone that has become silent may still be sending.
-        if view.known.get(zone):
-            return view.live.get(zone, frozenset())
-        return frozenset().union(*view.live.values())
-
 
 class SendTimes:
     """When this gateway last sent to each server."""
