--- a/libs/direct/tests/test_digests.py
+++ b/libs/direct/tests/test_digests.py
@@ -1,9 +1,14 @@
 """Tests of the encoding of messages between gateways."""
 
+import dataclasses
+import math
+
 import pytest
 
+import banyandale_core as core
 from banyandale_direct import _digests as digests
 from banyandale_direct import _members as members
+from banyandale_direct import _named_limits as named_limits
 from banyandale_direct import _replicas as replicas
 from banyandale_direct import _versions as versions
 import banyandale_platform as platform
@@ -60,6 +65,42 @@
     assert digests.decode_digest(data, zones=ZONES) == digest
 
 
+def make_limited_digest(*limits):
+    """Returns a digest with a notice per limit, said 2 s ago."""
+    return digests.Digest(
+        sender="10.0.0.1",
+        reading=False,
+        members=make_block(),
+        held={},
+        limits=tuple(
+            named_limits.Notice(
+                server_id=f"i-{number}",
+                started_unix_ms=1_787_000_000_123,
+                calls_per_second=limit,
+                said_at=core.boot_seconds() - 2.0,
+            )
+            for number, limit in enumerate(limits)
+        ),
+    )
+
+
+def test_decoded_limits_have_the_age_of_the_original():
+    """Guards against limits that look newer or older at other gateways."""
+    digest = make_limited_digest(1.1, 0.0, None)
+    decoded = digests.decode_digest(digests.encode_digest(digest), zones=ZONES)
+    for before, after in zip(digest.limits, decoded.limits, strict=True):
+        assert after.said_at == pytest.approx(before.said_at, abs=0.1)
+        assert dataclasses.replace(after, said_at=before.said_at) == before
+
+
+@pytest.mark.parametrize("limit", [-1.0, math.nan, math.inf])
+def test_a_limit_that_is_no_number_of_calls_is_refused(limit):
+    """Guards against a message that stops the calls to a server."""
+    data = digests.encode_digest(make_limited_digest(limit))
+    with pytest.raises(digests.MalformedDigestError):
+        digests.decode_digest(data, zones=ZONES)
+
+
 def test_decoded_deltas_equal_the_original():
     """Guards against replicas that differ from the store."""
     delta = make_delta()
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -104,3 +104,54 @@
         assert await client.get(kind="k", name="n") is not None
 
     run(scenario)
+
+
+def test_listings_and_watches_carry_the_era():
+    """Guards against versions of two histories that look comparable."""
+
+    async def scenario(store, client):
+        await store.put("k", "a", {"specification": 1})
+        copy = store.store.copy()
+        assert (await client.list(kind="k")).era == 0
+        await store.restore(copy)
+        listing = await client.list(kind="k")
+        assert (listing.era, listing.version) == (1, copy.version)
+        await store.put("k", "b", {"specification": 2})
+        assert (await watch(client, listing.version)).era == 1
+
+    run(scenario)
+
+
+def test_a_listing_of_two_eras_is_refused():
+    """Guards against pages of which some are from another history."""
+
+    async def scenario(store, client):
+        for number in range(2 * standin.PAGE_SIZE):
+            await store.put("k", f"n{number}", {"specification": {}})
+        copy = store.store.copy()
+        handle = store.handle
+
+        async def restore_after_first_page(request, sock):
+            response = await handle(request, sock)
+            if store.store.era == 0:
+                await store.restore(copy)
+            return response
+
+        store.handle = restore_after_first_page
+        with pytest.raises(platform.StoreUnavailableError):
+            await client.list(kind="k")
+        assert (await client.list(kind="k")).era == 1
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("era", ["", "x", "-1", "1.5", str(2**64)])
+def test_a_malformed_era_is_no_answer(era):
+    """Guards against a restored store that passes for an older one."""
+
+    async def scenario(store, client):
+        store.store.era = era
+        with pytest.raises(platform.StoreUnavailableError):
+            await client.list(kind="k")
+
+    run(scenario)
