direct: remember a server's limit while its entry lapses

A server that names a limit would get a call from every gateway at once after the store was down: its entry lapses, all gateways forgot the limit and their last calls with it, and each learned the limit anew by a call. They are now remembered for 60 s after the last answer and call. The tests failed before (the limit was gone with the entry). Found by reading.

--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -285,8 +285,10 @@
             addresses = self._registry.addresses()
             known = frozenset(addresses)
             self._shared.server_health.keep_only(known)
-            self._shared.send_times.keep_only(known)
-            self._shared.named_limits.keep_only(known)
+            self._shared.send_times.forget_gone(known, now=time.monotonic())
+            self._shared.named_limits.forget_gone(
+                known, boot_now=core.boot_seconds()
+            )
             await self._shared.channels.keep_only(addresses)
 
     def _reload(self, cause: str) -> None:
--- a/libs/direct/src/banyandale_direct/_named_limits.py
+++ b/libs/direct/src/banyandale_direct/_named_limits.py
@@ -234,7 +234,16 @@
             for notice in self._notices.values()
         )
 
-    def keep_only(self, server_ids: frozenset[str]) -> None:
-        """Removes servers that are gone."""
+    def forget_gone(
+        self, server_ids: frozenset[str], *, boot_now: float
+    ) -> None:
+        """Removes servers that have been gone for a while.
+
+        Args:
+            server_ids: Servers that are known now.
+            boot_now: Seconds of the boot clock.
+        """
+        since = boot_now - senders.REMEMBER_GONE_SECONDS
         for server_id in self._notices.keys() - server_ids:
-            del self._notices[server_id]
+            if self._notices[server_id].said_at < since:
+                del self._notices[server_id]
--- a/libs/direct/src/banyandale_direct/_senders.py
+++ b/libs/direct/src/banyandale_direct/_senders.py
@@ -21,6 +21,9 @@
 # A gateway whose view is older than this is not a sender: it was suspended, or
 # has too little processor time. Views are updated once per gossip round.
 STALE_SECONDS = 2.0
+# Calls and limits of a server are remembered for this long, as its entry may
+# lapse while the store is down or the server is cut off, and be back soon.
+REMEMBER_GONE_SECONDS = 60.0
 # Longest time for which earlier views are kept.
 MAX_STABLE_SECONDS = 15.0
 
@@ -178,7 +181,14 @@
         if self._sent_at.get(server_id) == at:
             self._sent_at[server_id] = at - interval
 
-    def keep_only(self, server_ids: frozenset[str]) -> None:
-        """Removes servers that are gone."""
+    def forget_gone(self, server_ids: frozenset[str], *, now: float) -> None:
+        """Removes servers that have been gone for a while.
+
+        Args:
+            server_ids: Servers that are known now.
+            now: Monotonic seconds.
+        """
+        since = now - REMEMBER_GONE_SECONDS
         for server_id in self._sent_at.keys() - server_ids:
-            del self._sent_at[server_id]
+            if self._sent_at[server_id] < since:
+                del self._sent_at[server_id]
--- a/libs/direct/tests/test_named_limits.py
+++ b/libs/direct/tests/test_named_limits.py
@@ -314,7 +314,7 @@
     _, limits = make_limits("10.0.0.1", 1.0)
     now = named_limits.MAX_SPREAD_SECONDS + 1.0
     assert limits.spread(boot_now=now) == ()
-    limits.keep_only(frozenset())
+    limits.forget_gone(frozenset(), boot_now=200.0)
     assert not limits.merge(make_notice(1.0, said_at=0.5), boot_now=now)
 
 
@@ -333,3 +333,34 @@
     spread = limits.spread(boot_now=200.0)
     assert len(spread) <= named_limits.MAX_SPREAD_NOTICES
     assert spread[0].server_id == "i-199"
+
+
+def test_a_limit_outlives_an_entry_that_lapses():
+    """Guards against a limit that every gateway forgets with the entry.
+
+    Entries lapse while the store is down, and are back seconds later.
+    """
+    election, limits = make_limits("10.0.0.1", 1.0)
+    own = make_member(1)
+    for step in range(20):
+        now = 1.0 + step * 0.5
+        election.update(live=[own], known=[own], now=now)
+    turn = limits.plan_turn([SERVER], now=now, boot_now=now)
+    limits.take_turn(turn)
+    limits.forget_gone(frozenset(), boot_now=now)
+    assert limits.find(SERVER) == 1.0
+    later = senders.REMEMBER_GONE_SECONDS + 0.1
+    limits.forget_gone(frozenset({"i"}), boot_now=later)
+    assert limits.find(SERVER) == 1.0
+    limits.forget_gone(frozenset(), boot_now=later)
+    assert limits.find(SERVER) is None
+
+
+def test_the_last_send_outlives_an_entry_that_lapses():
+    """Guards against a call right after the one before the lapse."""
+    times = senders.SendTimes()
+    times.record("i", at=10.0)
+    times.forget_gone(frozenset(), now=15.0)
+    assert times.next_send_at("i", interval=6.0) == 16.0
+    times.forget_gone(frozenset(), now=10.1 + senders.REMEMBER_GONE_SECONDS)
+    assert times.next_send_at("i", interval=6.0) == 0.0
