--- a/libs/direct/src/banyandale_direct/_replication.py
+++ b/libs/direct/src/banyandale_direct/_replication.py
@@ -85,8 +85,8 @@
             on_listing: Called with kind, all objects and version of a replaced
                 replica.
             on_change: Called with each change of a replica and its era.
-            reconcile: Called with kind, held objects and a listing of a later
-                era; returns the listing with what stays in force.
+            reconcile: Called with kind, held objects and a listing that is not
+                of an earlier era; returns it with what stays in force.
             configuration_version: Returns the version that operators gave the
                 configuration in force.
             events: Log of the process.
