--- a/tests/adapter/test_named_limits.py
+++ b/tests/adapter/test_named_limits.py
@@ -74,8 +74,12 @@
     return times
 
 
-def test_a_named_limit_holds_over_all_gateways(tmp_path):
-    """Guards against each gateway sending as if it were the only one."""
+def run_limited_load(tmp_path, check):
+    """Runs a load of which one of three servers takes a limited part.
+
+    `check` gets the times of the limited server's calls, the statuses of all
+    answers and the reasons of all refusals.
+    """
 
     async def scenario(deployment, *ips):
         limited = deployment.servers[0]
@@ -90,19 +94,38 @@
         ]
         for task in tasks:
             await task.join()
-        counted = [t for t in times if t >= times[0] + CONTACT_SECONDS]
-        assert 0 < count_busiest_window(counted) <= ALLOWED
-        # On a busy machine, load reports may come too late.
         reasons = {
             event["reason"]
             for ip in ips
             for event in deployment.read_events(ip, "refused")
         }
+        check(times, statuses, reasons)
+
+    deployments.run(tmp_path, scenario, GATEWAYS)
+
+
+def test_a_named_limit_holds_over_all_gateways(tmp_path):
+    """Guards against each gateway sending as if it were the only one."""
+
+    def check(times, statuses, reasons):
+        counted = [t for t in times if t >= times[0] + CONTACT_SECONDS]
+        assert 0 < count_busiest_window(counted) <= ALLOWED
+        # On a busy machine, load reports may come too late.
         assert reasons <= {"no_server"}
         assert set(statuses) <= {200, 503}
         assert statuses.count(200) >= 0.99 * len(statuses)
 
-    deployments.run(tmp_path, scenario, GATEWAYS)
+    run_limited_load(tmp_path, check)
+
+
+def test_no_call_is_refused_beside_a_limited_server(tmp_path):
+    """Guards against a limit that costs calls which other servers can take."""
+
+    def check(times, statuses, reasons):
+        assert reasons == set()
+        assert set(statuses) == {200}
+
+    run_limited_load(tmp_path, check)
 
 
 def test_calls_wait_in_order_or_are_rejected_at_once(tmp_path):
