direct: log the content of calls that speak against a server

The logs named requests by their id only, and each repeat has a new one, so the crashes under one content could be joined by path only (GET). A digest of method, host, target, credentials and body is now in server_avoided. It is computed only for failed calls. No decision uses it yet.

--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -15,6 +15,7 @@
 from banyandale_direct import _channels as channels
 from banyandale_direct import _configuration as configuration
 from banyandale_direct import _context as context
+from banyandale_direct import _fingerprints as fingerprints
 from banyandale_direct import _hedging as hedging
 from banyandale_direct import _memory as memory
 from banyandale_direct import _named_limits as named_limits
@@ -541,6 +542,7 @@
         shared.events.write(
             "server_avoided",
             request=self._call.id,
+            content=fingerprints.compute_fingerprint(self._call).hex(),
             server=server_id,
             outcome=outcome,
             seconds=round(seconds, 4),
