tests: a request that crashes its servers is sent to server after server

The stand-in for servers can now end like a process: its connections break and new ones are refused.

--- a/tests/adapter/deployments.py
+++ b/tests/adapter/deployments.py
@@ -69,6 +69,17 @@
             await server.start("127.0.0.1:0")
             await self.register(server)
 
+    async def replace_server(self, server, name):
+        """Starts another server in place of one that has ended."""
+        started = standin.ServerStandin(name)
+        started.work_seconds = server.work_seconds
+        started.crash_prefix = server.crash_prefix
+        await started.start("127.0.0.1:0")
+        self.servers.append(started)
+        await self.register(started)
+        await self.store.delete("servers", server.id)
+        return started
+
     async def configure(self, version, rules=RULES, **limits):
         document = standin.make_configuration(version, rules, **limits)
         await self.store.put("config", "main", document)
@@ -144,7 +155,8 @@
             process.kill()
             process.wait()
         for server in self.servers:
-            await server.stop()
+            if server.ended_at is None:
+                await server.stop()
         await self.store.stop()
 
 
--- a/tests/adapter/standin.py
+++ b/tests/adapter/standin.py
@@ -14,6 +14,8 @@
 
 OBJECTS_PATH = "/banyandale/objects/"
 PAGE_SIZE = 3
+# Time for which a server runs a request that makes it crash.
+CRASH_SECONDS = 0.04
 
 
 def make_response(status, body=None, headers=()):
@@ -34,6 +36,7 @@
         self.connections = 0
         self._listener = None
         self._tasks = []
+        self._serve_tasks = set()
 
     async def start(self, address):
         self._listener = http.open_listener(address)
@@ -49,6 +52,8 @@
 
     async def _serve(self, sock):
         connection = http.ServerConnection(sock=sock)
+        task = await curio.current_task()
+        self._serve_tasks.add(task)
         try:
             while True:
                 request = await connection.read_request(
@@ -65,6 +70,7 @@
         except http.HttpError:
             return
         finally:
+            self._serve_tasks.discard(task)
             await connection.close()
 
     async def stop(self):
@@ -72,6 +78,13 @@
             await task.cancel()
         await self._listener.close()
 
+    async def crash(self):
+        """Ends like a process: all connections break, new ones are refused."""
+        await self.stop()
+        current = await curio.current_task()
+        for task in self._serve_tasks - {current}:
+            await task.cancel(blocking=False)
+
 
 class StoreStandin(HttpStandin):
     """The platform's object store over HTTP.
@@ -219,6 +232,9 @@
         cancelled: Ids of the requests whose connection was closed during
             their execution.
         limit: Requests per second that it names in its answers, or None.
+        crash_prefix: Requests whose path starts with it end the server while
+            it runs them; None for no requests.
+        ended_at: Monotonic seconds when it crashed, or None.
     """
 
     def __init__(self, name):
@@ -233,6 +249,8 @@
         self.healthy = True
         self.cancelled = []
         self.limit = None
+        self.crash_prefix = None
+        self.ended_at = None
 
     async def handle(self, request, sock):
         if request.target == b"/health":
@@ -259,6 +277,12 @@
             return response or None
         self.executed_ids.append(request_id.decode())
         self.executed_headers.append(dict(request.headers))
+        if self.crash_prefix and request.target.startswith(self.crash_prefix):
+            await curio.sleep(CRASH_SECONDS)
+            if self.ended_at is None:
+                self.ended_at = time.monotonic()
+                await self.crash()
+            return None
         until = time.monotonic() + self.work_seconds
         while time.monotonic() < until:
             if http.peek(sock) == b"":
--- /dev/null
+++ b/tests/adapter/test_crashing_calls.py
@@ -0,0 +1,174 @@
+"""Tests of requests that crash the servers that run them."""
+
+import itertools
+import signal
+import time
+
+import curio
+import deployments
+import standin
+
+GATEWAYS = ("127.0.7.1", "127.0.7.2", "127.0.7.3")
+CRASHING_PATH = "/read/crash"
+POPULAR_PATH = "/read/popular"
+CRASH_INTERVAL_SECONDS = 0.2
+CALL_INTERVAL_SECONDS = 0.05
+RESTART_SECONDS = 0.8
+# From the requirement: servers that may end before a request is known to crash
+# them; sends allowed later than `CONTACT_SECONDS` after that.
+CERTAIN_AFTER = 3
+CONTACT_SECONDS = 3.0
+LATE_SENDS = 3
+MIN_SERVED = 0.98
+
+
+class CrashingLoad:
+    """A request that crashes its servers, beside ordinary calls.
+
+    Attributes:
+        statuses: Answers to the crashing request, in order.
+        seconds: Durations of these answers.
+        ordinary: Answers to ordinary calls by path; every path but the popular
+            one is called once.
+    """
+
+    def __init__(self, deployment):
+        self._deployment = deployment
+        self._names = itertools.count()
+        self.running = True
+        self.statuses = []
+        self.seconds = []
+        self.ordinary = {}
+
+    async def add_servers(self, count):
+        deployment = self._deployment
+        for number in range(count - len(deployment.servers)):
+            server = standin.ServerStandin(f"j-{number}")
+            await server.start("127.0.0.1:0")
+            deployment.servers.append(server)
+            await deployment.register(server)
+        for server in deployment.servers:
+            server.crash_prefix = CRASHING_PATH.encode()
+            server.work_seconds = 0.02
+
+    def ended(self):
+        """Returns when servers ended, in order."""
+        return sorted(
+            server.ended_at
+            for server in self._deployment.servers
+            if server.ended_at is not None
+        )
+
+    async def restart_servers(self):
+        replaced = set()
+        while self.running:
+            now = time.monotonic()
+            for server in list(self._deployment.servers):
+                if server.ended_at is None or server.id in replaced:
+                    continue
+                if now >= server.ended_at + RESTART_SECONDS:
+                    replaced.add(server.id)
+                    name = f"k-{next(self._names)}"
+                    await self._deployment.replace_server(server, name)
+            await curio.sleep(0.02)
+
+    async def send_crashing(self, ip):
+        sent_at = time.monotonic()
+        response = await self._deployment.send(
+            ip, CRASHING_PATH, name=f"crash{next(self._names)}"
+        )
+        self.statuses.append(response.status)
+        self.seconds.append(time.monotonic() - sent_at)
+        return response
+
+    async def call_ordinarily(self, ip, path):
+        while self.running:
+            name = f"c{next(self._names)}"
+            target = path or f"/read/{name}"
+            response = await self._deployment.send(ip, target, name=name)
+            self.ordinary.setdefault(path, []).append(response.status)
+            await curio.sleep(CALL_INTERVAL_SECONDS)
+
+    async def spawn_ordinary(self, ips):
+        await curio.spawn(self.restart_servers, daemon=True)
+        for ip in ips:
+            for path in (None, POPULAR_PATH):
+                await curio.spawn(self.call_ordinarily, ip, path, daemon=True)
+
+    async def send_until(self, ips, until):
+        for ip in itertools.cycle(ips):
+            if time.monotonic() >= until:
+                return
+            await self.send_crashing(ip)
+            await curio.sleep(CRASH_INTERVAL_SECONDS)
+
+
+def test_a_request_that_crashes_servers_is_refused_after_the_third(tmp_path):
+    """Guards against evidence that is forgotten with each attempt."""
+
+    async def scenario(deployment, *ips):
+        load = CrashingLoad(deployment)
+        await load.add_servers(8)
+        await load.spawn_ordinary(ips)
+        await curio.sleep(0.5)
+        started_at = time.monotonic()
+        await load.send_until(ips, started_at + 2 * CONTACT_SECONDS)
+        load.running = False
+        ended = load.ended()
+        assert len(ended) == CERTAIN_AFTER
+        late_from = ended[CERTAIN_AFTER - 1] + CONTACT_SECONDS
+        assert sum(at > late_from for at in ended) <= LATE_SENDS
+        assert set(load.statuses[CERTAIN_AFTER:]) == {503}
+        assert max(load.seconds[CERTAIN_AFTER:]) < 0.1
+        for statuses in load.ordinary.values():
+            assert statuses.count(200) >= MIN_SERVED * len(statuses)
+        # A popular call that was on a crashing server stays innocent.
+        assert load.ordinary[POPULAR_PATH][-20:] == [200] * 20
+
+    deployments.run(tmp_path, scenario, GATEWAYS)
+
+
+def test_a_crashing_request_is_known_after_the_loss_of_all_gateways(tmp_path):
+    """Guards against evidence that ends with the processes."""
+
+    async def scenario(deployment, *ips):
+        load = CrashingLoad(deployment)
+        await load.add_servers(8)
+        await load.spawn_ordinary(ips)
+        await load.send_until(ips, time.monotonic() + CONTACT_SECONDS)
+        load.running = False
+        ended = len(load.ended())
+        assert ended <= CERTAIN_AFTER
+        for ip in ips:
+            deployment.processes[ip].send_signal(signal.SIGKILL)
+            deployment.processes[ip].wait()
+        for ip in ips:
+            deployment.start_gateway(ip)
+        for ip in ips:
+            await deployment.wait_ready(ip)
+        for ip in ips:
+            response = await load.send_crashing(ip)
+            assert response.status == 503
+        assert len(load.ended()) == ended
+
+    deployments.run(tmp_path, scenario, GATEWAYS)
+
+
+def test_a_gateway_that_starts_late_knows_the_crashing_request(tmp_path):
+    """Guards against gateways that judge by their own calls only."""
+    late = "127.0.7.4"
+
+    async def scenario(deployment, *ips):
+        load = CrashingLoad(deployment)
+        await load.add_servers(8)
+        await load.spawn_ordinary(ips)
+        await load.send_until(ips, time.monotonic() + CONTACT_SECONDS)
+        load.running = False
+        ended = len(load.ended())
+        deployment.start_gateway(late)
+        await deployment.wait_ready(late)
+        response = await load.send_crashing(late)
+        assert response.status == 503
+        assert len(load.ended()) == ended
+
+    deployments.run(tmp_path, scenario, GATEWAYS)
