direct: refuse a request that crashes the servers that run it

Cause: what a call did to a server ended with the attempt. Server health knew that the server had failed, nothing knew which content was there each time. A new request id made each repeat a new call, at each of 16 gateways and after each restart. Ruled out: repeats alone (first attempts ended nine servers), load and cold starts (the content was never served, and is in every crash).

Change: evidence belongs to a digest of the content. A broken connection counts only if the server has ended (its address refuses, or its entry is gone or new), once per process of a server, whoever saw it. With the first crash, calls of this content go once at a time over the fleet, after the gateway that decides about it has agreed; no hedges. An answer clears them, three crashes in a row refuse them: 503, not run, at once, return after 60 s. Digests spread the records, the store keeps those with two crashes or more, and a gateway is not ready before it has read them.

--- a/libs/direct/src/banyandale_direct/__init__.py
+++ b/libs/direct/src/banyandale_direct/__init__.py
@@ -11,6 +11,9 @@
 from banyandale_direct._configuration import Route
 from banyandale_direct._configuration import Service
 from banyandale_direct._configuration import Share
+from banyandale_direct._crash_records import Crash
+from banyandale_direct._crash_records import CrashRecord
+from banyandale_direct._fingerprints import FINGERPRINT_BYTES
 from banyandale_direct._gateway import Gateway
 from banyandale_direct._members import Member
 from banyandale_direct._placement import LoadReport
@@ -28,10 +31,13 @@
 from banyandale_direct._settings import Settings
 
 __all__ = [
+    "FINGERPRINT_BYTES",
     "AnswerKind",
     "Call",
     "CallerCodec",
     "Configuration",
+    "Crash",
+    "CrashRecord",
     "Gateway",
     "Limits",
     "LoadReport",
--- a/libs/direct/src/banyandale_direct/_admission.py
+++ b/libs/direct/src/banyandale_direct/_admission.py
@@ -47,6 +47,8 @@
     NO_ROOM = "no_room"
     COLD_LIMIT = "cold_limit"
     SERVER_LIMIT = "server_limit"
+    CRASHES_SERVERS = "crashes_servers"
+    SUSPECT_BUSY = "suspect_busy"
     DEADLINE_TOO_CLOSE = "deadline_too_close"
     STOPPING = "stopping"
     TIMED_OUT = "timed_out"
--- a/libs/direct/src/banyandale_direct/_calls.py
+++ b/libs/direct/src/banyandale_direct/_calls.py
@@ -112,7 +112,11 @@
             )
             return _ReadCall(call=call, arrived_at=arrived_at, error=error)
         current = self.configuration
-        if current is None or not self._shared.registry.loaded:
+        if (
+            current is None
+            or not self._shared.registry.loaded
+            or not self._shared.quarantine.loaded
+        ):
             return _ReadCall(call=call, arrived_at=arrived_at)
         return _ReadCall(
             call=call,
--- a/libs/direct/src/banyandale_direct/_context.py
+++ b/libs/direct/src/banyandale_direct/_context.py
@@ -11,6 +11,7 @@
 from banyandale_direct import _memory as memory
 from banyandale_direct import _named_limits as named_limits
 from banyandale_direct import _protocols as protocols
+from banyandale_direct import _quarantine as quarantine
 from banyandale_direct import _registry as registry
 from banyandale_direct import _senders as senders
 from banyandale_direct import _server_health as server_health
@@ -28,6 +29,7 @@
     election: senders.SenderElection
     send_times: senders.SendTimes
     named_limits: named_limits.NamedLimits
+    quarantine: quarantine.Quarantine
     channels: channels.Channels
     members: members.MemberTable
     settings: settings.Settings
--- a/libs/direct/src/banyandale_direct/_digests.py
+++ b/libs/direct/src/banyandale_direct/_digests.py
@@ -8,6 +8,8 @@
 import capnp
 
 import banyandale_core as core
+from banyandale_direct import _crash_records as crash_records
+from banyandale_direct import _fingerprints as fingerprints
 from banyandale_direct import _members as members
 from banyandale_direct import _named_limits as named_limits
 from banyandale_direct import _replicas as replicas
@@ -47,6 +49,9 @@
         limits: What servers last said about their limits.
         configuration: Version that operators gave the configuration in force; 0
             without one.
+        crashes: Contents under which servers have ended.
+        records_loaded: Whether the sender has the records of earlier processes.
+        records_complete: Whether these are all records of the sender.
     """
 
     sender: str
@@ -56,6 +61,9 @@
     deltas: tuple[replicas.Delta, ...] = ()
     limits: tuple[named_limits.Notice, ...] = ()
     configuration: int = 0
+    crashes: tuple[crash_records.CrashRecord, ...] = ()
+    records_loaded: bool = False
+    records_complete: bool = False
 
 
 def _compress(message: object) -> bytes:
@@ -93,11 +101,37 @@
         entry.startedUnixMs = notice.started_unix_ms
         entry.limited = notice.calls_per_second is not None
         entry.callsPerSecond = notice.calls_per_second or 0.0
-        age = boot_now - notice.said_at
-        entry.ageMs = max(int(age * core.MILLISECONDS_PER_SECOND), 0)
+        entry.ageMs = _to_milliseconds(boot_now - notice.said_at)
+    message.recordsLoaded = digest.records_loaded
+    message.recordsComplete = digest.records_complete
+    records = message.init("crashRecords", len(digest.crashes))
+    for entry, record in zip(records, digest.crashes, strict=True):
+        _fill_crash_record(entry, record, boot_now)
     return _compress(message)
 
 
+def _to_milliseconds(seconds: float) -> int:
+    """Returns a duration as a whole number; 0 for negative ones."""
+    return max(int(seconds * core.MILLISECONDS_PER_SECOND), 0)
+
+
+def _fill_crash_record(
+    entry: object, record: crash_records.CrashRecord, boot_now: float
+) -> None:
+    entry.fingerprint = record.fingerprint
+    entry.keepMs = _to_milliseconds(record.expires_at - boot_now)
+    entry.answered = record.answered_at > -math.inf
+    if entry.answered:
+        entry.answeredAgeMs = _to_milliseconds(boot_now - record.answered_at)
+    crashes = entry.init("crashes", len(record.crashes))
+    for item, crash in zip(crashes, record.crashes, strict=True):
+        item.server = crash.server_id
+        item.startedUnixMs = crash.started_unix_ms
+        item.ageMs = _to_milliseconds(boot_now - crash.broke_at)
+        item.order = crash.order
+        item.state = int(crash.state)
+
+
 def decode_digest(data: bytes, *, zones: tuple[str, ...]) -> Digest:
     """Decodes a datagram.
 
@@ -125,6 +159,11 @@
             configuration=message.configuration,
             deltas=tuple(_read_delta(entry) for entry in message.deltas),
             limits=tuple(_read_notice(entry) for entry in message.limits),
+            crashes=tuple(
+                _read_crash_record(entry) for entry in message.crashRecords
+            ),
+            records_loaded=message.recordsLoaded,
+            records_complete=message.recordsComplete,
         )
     except (capnp.KjException, zlib.error, ValueError) as error:
         raise MalformedDigestError(str(error)) from error
@@ -143,6 +182,34 @@
     )
 
 
+def _read_crash_record(entry: object) -> crash_records.CrashRecord:
+    fingerprint = bytes(entry.fingerprint)
+    if len(fingerprint) != fingerprints.FINGERPRINT_BYTES:
+        raise MalformedDigestError(
+            f"a content is named by {len(fingerprint)} bytes"
+        )
+    boot_now = core.boot_seconds()
+    answered_age = entry.answeredAgeMs / core.MILLISECONDS_PER_SECOND
+    keep_seconds = min(
+        entry.keepMs / core.MILLISECONDS_PER_SECOND, crash_records.KEEP_SECONDS
+    )
+    return crash_records.CrashRecord(
+        fingerprint=fingerprint,
+        crashes=tuple(
+            crash_records.Crash(
+                server_id=item.server,
+                started_unix_ms=item.startedUnixMs,
+                broke_at=boot_now - item.ageMs / core.MILLISECONDS_PER_SECOND,
+                order=item.order,
+                state=crash_records.CrashState(item.state),
+            )
+            for item in entry.crashes
+        ),
+        answered_at=boot_now - answered_age if entry.answered else -math.inf,
+        expires_at=boot_now + keep_seconds,
+    )
+
+
 def _fill_delta(entry: object, delta: replicas.Delta) -> None:
     entry.kind = delta.kind
     entry.since = delta.since.revision
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -15,12 +15,14 @@
 from banyandale_direct import _channels as channels
 from banyandale_direct import _configuration as configuration
 from banyandale_direct import _context as context
+from banyandale_direct import _crash_records as crash_records
 from banyandale_direct import _fingerprints as fingerprints
 from banyandale_direct import _hedging as hedging
 from banyandale_direct import _memory as memory
 from banyandale_direct import _named_limits as named_limits
 from banyandale_direct import _placement as placement
 from banyandale_direct import _protocols as protocols
+from banyandale_direct import _quarantine as quarantine
 from banyandale_direct import _registry as registry
 from banyandale_direct import _selection as selection
 from banyandale_direct import _server_health as server_health
@@ -44,6 +46,17 @@
 UNSIGNED_KINDS = frozenset(
     {protocols.AnswerKind.INVALID, protocols.AnswerKind.MISDIRECTED}
 )
+# Answers after which the server is known to have run the call and to live.
+RUN_KINDS = frozenset(
+    {protocols.AnswerKind.SERVED, protocols.AnswerKind.FAILED}
+)
+# Failures with which the connection to the server ended.
+BROKEN_CODES = frozenset(
+    {http.TruncatedResponseError.code, http.SendError.code}
+)
+# Retry delay of callers whose request crashes servers. Callers that wait this
+# long at most come back after the longest delay that they accept.
+CRASHING_RETRY_AFTER_SECONDS = 60.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -98,6 +111,7 @@
         selection_fields: Log fields of the refusal when no server was chosen.
         report: Load report by which the server was chosen, or None.
         run: Whether the server may have run the call.
+        permit: Permission to send the call's content.
     """
 
     open: bool = True
@@ -113,6 +127,7 @@
     )
     report: placement.LoadReport | None = None
     run: core.RunMark = core.RunMark.NOT_RUN
+    permit: quarantine.Permit = quarantine.UNSUSPECTED
 
 
 class Exchange:
@@ -274,6 +289,7 @@
     def _may_hedge(self) -> bool:
         allowed = (
             self._route.repeatable
+            and not self._is_suspect()
             and self._count_sends() < self._route.max_attempts
             and self._spend_repeat()
         )
@@ -282,6 +298,12 @@
         )
         return allowed
 
+    def _is_suspect(self) -> bool:
+        return (
+            self._shared.quarantine.suspicion(self._call)
+            is not crash_records.Suspicion.NONE
+        )
+
     def _may_repeat(self, attempt: _Attempt) -> bool:
         if attempt.refusal is not None:
             return False
@@ -351,6 +373,8 @@
                 refusal=admission.Refusal.OUTCOME_UNKNOWN,
             )
         last = self._attempts[-1]
+        if last.refusal is admission.Refusal.CRASHES_SERVERS:
+            return refuse_not_run(last.refusal, CRASHING_RETRY_AFTER_SECONDS)
         wait = last.wait_seconds
         if last.refusal is None and last.report is not None:
             # No wait if slots are free: such a server may accept the next call.
@@ -374,6 +398,32 @@
         )
 
     async def _attempt(self, attempt: _Attempt) -> None:
+        await self._shared.quarantine.catch_up()
+        if not self._is_suspect():
+            await self._attempt_permitted(attempt)
+            return
+        quarantined = self._shared.quarantine
+        work = self._shared.demands.find(self._route).work_seconds
+        permit = await quarantined.acquire(
+            self._call,
+            lease_seconds=work * server_health.OVERDUE_FACTOR,
+            deadline=self._answer_by - work * admission.WORK_MARGIN,
+        )
+        if permit is None:
+            attempt.refusal = quarantined.find_refusal(self._call)
+            attempt.wait_seconds = work
+            attempt.selection_fields = quarantined.describe(self._call)
+            return
+        attempt.permit = permit
+        try:
+            await self._attempt_permitted(attempt)
+        except BaseException:
+            # The task may have been cancelled, and others wait for the permit.
+            await curio.spawn(quarantined.release, permit, daemon=True)
+            raise
+        await quarantined.release(permit)
+
+    async def _attempt_permitted(self, attempt: _Attempt) -> None:
         choice = await self._selection.choose(
             tried=frozenset(self._tried), first=len(self._attempts) == 1
         )
@@ -383,6 +433,11 @@
         if probe is None:
             attempt.selection_fields = choice.describe(now=time.monotonic())
             return
+        if not attempt.permit.holder and self._is_suspect():
+            # A server has ended under the same content in the meantime.
+            attempt.error = "suspected"
+            await self._shared.channels.release(probe)
+            return
         server = probe.candidate.entry.server
         attempt.server_id = server.id
         attempt.report = probe.candidate.report
@@ -399,10 +454,34 @@
         finally:
             health.in_flight -= 1
         self._record_outcome(attempt, server.id, time.monotonic() - sent_at)
+        await self._record_evidence(attempt, server, time.monotonic() - sent_at)
+
+    async def _record_evidence(
+        self, attempt: _Attempt, server: registry.Server, seconds: float
+    ) -> None:
+        """Records whether the call has ended the server that ran it."""
+        if attempt.kind in RUN_KINDS:
+            await self._shared.quarantine.record_answer(self._call)
+            return
+        if not attempt.sent or attempt.kind is not None:
+            return
+        overdue = (
+            attempt.error == http.ResponseTimeoutError.code
+            and self._is_overdue(attempt, seconds)
+        )
+        if overdue or attempt.error in BROKEN_CODES:
+            await self._shared.quarantine.record_break(
+                self._call,
+                server,
+                order=attempt.permit.order,
+                answers=overdue,
+            )
 
     async def _plan_hedge(self, sent_at: float) -> None:
         if len(self._attempts) > 1 or not self._route.repeatable:
             return
+        if self._attempts[0].permit.holder:
+            return
         demand = self._shared.demands.find(self._route)
         self._hedge_at = hedging.hedge_at(
             started_at=self._started_at,
--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -12,6 +12,7 @@
 from banyandale_direct import _calls as calls
 from banyandale_direct import _channels as channels
 from banyandale_direct import _context as context
+from banyandale_direct import _crash_records as crash_records
 from banyandale_direct import _demands as demands
 from banyandale_direct import _endpoints as endpoints
 from banyandale_direct import _gossip as gossip
@@ -19,6 +20,7 @@
 from banyandale_direct import _members as members
 from banyandale_direct import _named_limits as named_limits
 from banyandale_direct import _protocols as protocols
+from banyandale_direct import _quarantine as quarantine
 from banyandale_direct import _registration as registration
 from banyandale_direct import _registry as registry
 from banyandale_direct import _replication as replication
@@ -80,6 +82,20 @@
         election = senders.SenderElection(own_ip=self._table.own.ip)
         send_times = senders.SendTimes()
         limits = named_limits.NamedLimits(election=election, times=send_times)
+        store = adapter.open_store(loaded)
+        crashes = crash_records.CrashTable()
+        peer_port = http.parse_address(loaded.peer_address)[1]
+        self._quarantine = quarantine.Quarantine(
+            crashes=crashes,
+            table=self._table,
+            servers=self._registry,
+            store=store,
+            documents=adapter.documents,
+            peer_port=peer_port,
+            reads_store=self._reads_store,
+            events=events,
+            metrics=metrics,
+        )
         self._shared = context.Shared(
             registry=self._registry,
             server_health=server_health.ServerHealthTable(),
@@ -88,6 +104,7 @@
             election=election,
             send_times=send_times,
             named_limits=limits,
+            quarantine=self._quarantine,
             channels=channels.Channels(
                 codec=adapter.servers, events=events, metrics=metrics
             ),
@@ -101,7 +118,6 @@
         self._calls = calls.CallServer(
             shared=self._shared, codec=adapter.callers
         )
-        store = adapter.open_store(loaded)
         self._store_updates = store_updates.StoreUpdateHandler(
             documents=adapter.documents,
             servers=self._registry,
@@ -114,7 +130,7 @@
             store=store,
             kinds=self._store_updates.kinds(),
             table=self._table,
-            peer_port=http.parse_address(loaded.peer_address)[1],
+            peer_port=peer_port,
             is_seed=self._table.own.ip in loaded.seed_ips,
             on_listing=self._store_updates.apply_listing,
             on_change=self._store_updates.apply_change,
@@ -135,10 +151,12 @@
             on_digest=self._replicator.handle_digest,
             election=election,
             limits=limits,
+            crashes=crashes,
             events=events,
             metrics=metrics,
         )
         self._replicator.gossip = self._gossip
+        self._quarantine.gossip = self._gossip
         self._registration = registration.Registration(
             store=store,
             documents=adapter.documents,
@@ -154,8 +172,12 @@
             self._calls.stop is None
             and self._calls.configuration is not None
             and self._registry.loaded
+            and self._quarantine.loaded
         )
 
+    def _reads_store(self) -> bool:
+        return self._replicator.should_read()
+
     async def run(self) -> None:
         """Serves until SIGTERM or SIGINT, then finishes the open calls."""
         loaded = self._settings
@@ -192,7 +214,7 @@
             ),
             (
                 loaded.peer_address,
-                endpoints.Endpoint(self._replicator.serve_delta).serve,
+                endpoints.Endpoint(self._serve_peer).serve,
             ),
         ):
             await self._spawn(
@@ -202,6 +224,8 @@
         await self._spawn("gossip sender", self._gossip.send)
         await self._spawn("following", self._replicator.run)
         await self._spawn("registration", self._registration.run)
+        await self._spawn("quarantine", self._quarantine.run)
+        await self._spawn("quarantine messages", self._quarantine.tell)
         await self._spawn("housekeeping", self._run_housekeeping)
 
     async def _accept(self, address: str, serve: Callable) -> None:
@@ -260,7 +284,15 @@
             ),
         )
 
+    def _serve_peer(self, request: http.Request) -> http.Response:
+        if request.target.startswith(quarantine.TRIAL_PATH.encode()):
+            return self._quarantine.serve(request)
+        return self._replicator.serve_delta(request)
+
     def _serve_metrics(self, request: http.Request) -> http.Response:
+        listed = self._quarantine.serve_list(request)
+        if listed is not None:
+            return listed
         path = request.target.partition(b"?")[0].decode("latin-1")
         if path != self._settings.metrics_path:
             return http.Response(status=NOT_FOUND_STATUS)
--- a/libs/direct/src/banyandale_direct/_gossip.py
+++ b/libs/direct/src/banyandale_direct/_gossip.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
 import socket
 import time
 
@@ -10,6 +11,7 @@
 import curio.socket
 
 import banyandale_core as core
+from banyandale_direct import _crash_records as crash_records
 from banyandale_direct import _digests as digests
 from banyandale_direct import _members as members
 from banyandale_direct import _named_limits as named_limits
@@ -26,6 +28,9 @@
 # all, they would fetch the change from it at once, and the link of its VM (5 to
 # 10 Mbit/s) would be the bottleneck.
 FAN_OUT = 4
+# Number of gateways of each other zone that are notified, in case a datagram is
+# lost.
+REMOTE_TARGETS = 2
 
 
 class Gossip:
@@ -33,6 +38,9 @@
 
     Attributes:
         reading: Whether this gateway reads the store and gets answers.
+        records_loaded: Whether this gateway has the crash records of earlier
+            processes.
+        heard_at: When a digest last arrived, in seconds of the boot clock.
     """
 
     def __init__(
@@ -48,6 +56,7 @@
         on_digest: Callable[[digests.Digest], Awaitable[None]],
         election: senders.SenderElection,
         limits: named_limits.NamedLimits,
+        crashes: crash_records.CrashTable,
         events: core.EventLog,
         metrics: core.Metrics,
     ) -> None:
@@ -66,6 +75,7 @@
             on_digest: Called with each digest after its members were merged.
             election: Gets the live gateways once per round.
             limits: Limits that servers have named.
+            crashes: Contents under which servers have ended.
             events: Log of the process.
             metrics: Counters of the process.
         """
@@ -78,10 +88,13 @@
         self._on_digest = on_digest
         self._election = election
         self._limits = limits
+        self._crashes = crashes
         self._events = events
         self._metrics = metrics
         self._live: frozenset[str] = frozenset()
         self.reading = False
+        self.records_loaded = False
+        self.heard_at = -math.inf
         host, self._port = http.parse_address(address)
         sock = curio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.bind((host, self._port))
@@ -101,6 +114,11 @@
                 continue
             new_ips = self._table.merge(digest.members, now=time.monotonic())
             self._merge_limits(digest)
+            if self._merge_crashes(digest) and not self._table.is_live_in_zone(
+                digest.sender, now=time.monotonic()
+            ):
+                # Only a few gateways of another zone are told.
+                await self.notify_zone()
             await self._on_digest(digest)
             if digest.sender in new_ips:
                 # A gateway that has just started gets the full membership
@@ -119,6 +137,40 @@
                     source=digest.sender,
                 )
 
+    def merge_records(self, data: bytes) -> None:
+        """Merges the crash records of a digest that came over TCP.
+
+        Raises:
+            MalformedDigestError: The data is not a digest.
+        """
+        self._merge_crashes(digests.decode_digest(data, zones=self._zones))
+
+    def encode_records(self) -> bytes:
+        """Returns a digest with the crash records known here."""
+        return self._encode(full=False)
+
+    def _merge_crashes(self, digest: digests.Digest) -> bool:
+        """Merges crash records; returns whether a count has changed."""
+        now = core.boot_seconds()
+        self.heard_at = now
+        changed = False
+        for record in digest.crashes:
+            if not self._crashes.merge(record, now=now):
+                continue
+            changed = True
+            merged = self._crashes.find(record.fingerprint)
+            if merged is not None:
+                self._events.write_state(
+                    "crashes_told",
+                    content=record.fingerprint.hex(),
+                    suspicion=merged.suspicion.value,
+                    source=digest.sender,
+                    **merged.describe(),
+                )
+        if digest.records_loaded and digest.records_complete:
+            self.records_loaded = True
+        return changed
+
     async def send(self) -> None:
         """Runs the gossip rounds in an endless loop."""
         while True:
@@ -154,7 +206,7 @@
             await self.notify_peers(remote=remote)
             return
         if remote:
-            targets += self._table.draw_remote(now=now)
+            targets += self._table.draw_remote(now=now, count=REMOTE_TARGETS)
         await self._send(data, targets)
 
     async def notify_peers(self, *, remote: bool = False) -> None:
@@ -183,6 +235,9 @@
                 limits=self._limits.spread(boot_now=core.boot_seconds())
                 if full
                 else (),
+                crashes=self._crashes.spread(),
+                records_loaded=self.records_loaded,
+                records_complete=self._crashes.spreads_all(),
             )
         )
 
--- a/libs/direct/src/banyandale_direct/_protocols.py
+++ b/libs/direct/src/banyandale_direct/_protocols.py
@@ -8,6 +8,7 @@
 
 from banyandale_direct import _admission as admission
 from banyandale_direct import _configuration as configuration
+from banyandale_direct import _crash_records as crash_records
 from banyandale_direct import _members as members
 from banyandale_direct import _placement as placement
 from banyandale_direct import _registry as registry
@@ -141,12 +142,14 @@
         server_kind: Kind of the servers' entries.
         zones_out_kind: Kind whose objects name zones that are out of service.
         member_kind: Kind of the gateways' own entries.
+        crash_kind: Kind of the records of contents that crash servers.
     """
 
     configuration_kind: str
     server_kind: str
     zones_out_kind: str
     member_kind: str
+    crash_kind: str
 
     def read_configuration(
         self, stored: platform.StoredObject
@@ -176,6 +179,25 @@
             MalformedEntryError: The entry cannot be read.
         """
 
+    def write_crash_record(
+        self, record: crash_records.CrashRecord, *, unix_offset: float
+    ) -> bytes:
+        """Writes what is known about a content.
+
+        Args:
+            record: The record.
+            unix_offset: Difference between Unix time and the boot clock.
+        """
+
+    def read_crash_record(
+        self, stored: platform.StoredObject, *, unix_offset: float
+    ) -> crash_records.CrashRecord:
+        """Reads what is known about a content.
+
+        Raises:
+            MalformedEntryError: The record cannot be read.
+        """
+
 
 class Platform(Protocol):
     """Everything that a gateway needs from a platform's adapter."""
--- a/libs/direct/src/banyandale_direct/_registry.py
+++ b/libs/direct/src/banyandale_direct/_registry.py
@@ -215,6 +215,24 @@
             and entry.server.zone not in self._zones_out
         )
 
+    def is_registered(self, server: Server) -> bool:
+        """Returns whether a server's entry is in force and not leaving."""
+        entry = self._entries.get(server.id)
+        return (
+            entry is not None
+            and entry.vanished_at is None
+            and not entry.server.leaving
+        )
+
+    def is_same_process(self, server_id: str, started_unix_ms: int) -> bool:
+        """Returns whether a process of a server is still registered."""
+        entry = self._entries.get(server_id)
+        return (
+            entry is not None
+            and entry.vanished_at is None
+            and entry.server.started_unix_ms == started_unix_ms
+        )
+
     def addresses(self) -> dict[str, str]:
         """Returns the address of each known server id."""
         return {
--- a/libs/direct/src/banyandale_direct/members.capnp
+++ b/libs/direct/src/banyandale_direct/members.capnp
@@ -20,6 +20,36 @@
   limits @5 :List(NamedLimit);
   # Version that operators gave the configuration in force; 0 without one.
   configuration @6 :UInt64;
+  # Contents under which servers have ended.
+  crashRecords @7 :List(CrashRecord);
+  # Whether the sender has read the records of earlier processes.
+  recordsLoaded @8 :Bool;
+  # Whether `crashRecords` contains all records of the sender.
+  recordsComplete @9 :Bool;
+}
+
+struct CrashRecord {
+  # Digest of 16 bytes of the content of a call.
+  fingerprint @0 :Data;
+  crashes @1 :List(Crash);
+  # Whether a server has answered the content, and the time since then.
+  answered @2 :Bool;
+  answeredAgeMs @3 :UInt64;
+  # Time until the record expires.
+  keepMs @4 :UInt32;
+}
+
+struct Crash {
+  # Id of the server that ended.
+  server @0 :Text;
+  # Start of its process in Unix milliseconds.
+  startedUnixMs @1 :Int64;
+  # Time since the connection to it broke.
+  ageMs @2 :UInt64;
+  # Number of crashes that were known when the call was sent.
+  order @3 :UInt8;
+  # Value of `CrashState`.
+  state @4 :UInt8;
 }
 
 struct NamedLimit {
--- a/libs/direct/tests/test_digests.py
+++ b/libs/direct/tests/test_digests.py
@@ -1,11 +1,13 @@
 """Tests of the encoding of messages between gateways."""
 
 import dataclasses
+import hashlib
 import math
 
 import pytest
 
 import banyandale_core as core
+from banyandale_direct import _crash_records as crash_records
 from banyandale_direct import _digests as digests
 from banyandale_direct import _members as members
 from banyandale_direct import _named_limits as named_limits
@@ -93,6 +95,68 @@
         assert dataclasses.replace(after, said_at=before.said_at) == before
 
 
+def make_crash_digest(*, records=1, state=0):
+    """Returns a digest with crash records of a second ago."""
+    now = core.boot_seconds()
+    return digests.Digest(
+        sender="10.0.0.1",
+        reading=False,
+        members=make_block(),
+        held={},
+        crashes=tuple(
+            crash_records.CrashRecord(
+                fingerprint=hashlib.blake2b(
+                    str(number).encode(), digest_size=16
+                ).digest(),
+                crashes=tuple(
+                    crash_records.Crash(
+                        server_id=f"i-{number:08}{order}",
+                        started_unix_ms=1_787_000_000_123 + number,
+                        broke_at=now - 1.0,
+                        order=order,
+                        state=state,
+                    )
+                    for order in range(3)
+                ),
+                answered_at=now - 2.0,
+                expires_at=now + 100.0,
+            )
+            for number in range(records)
+        ),
+        records_loaded=True,
+        records_complete=True,
+    )
+
+
+def test_decoded_crash_records_say_the_same_as_the_original():
+    """Guards against evidence that is lost on its way."""
+    digest = make_crash_digest(state=crash_records.CrashState.CONFIRMED)
+    decoded = digests.decode_digest(digests.encode_digest(digest), zones=ZONES)
+    assert decoded.records_loaded
+    assert decoded.records_complete
+    (before,), (after,) = digest.crashes, decoded.crashes
+    assert after.fingerprint == before.fingerprint
+    assert after.count == before.count == 3
+    assert after.answered_at == pytest.approx(before.answered_at, abs=0.1)
+    assert after.expires_at == pytest.approx(before.expires_at, abs=0.1)
+    for crash, original in zip(after.crashes, before.crashes, strict=True):
+        assert crash.broke_at == pytest.approx(original.broke_at, abs=0.1)
+        assert crash.process == original.process
+        assert crash.state is original.state
+
+
+def test_crash_records_fit_into_a_datagram():
+    """Guards against digests that grow with the contents known."""
+    digest = make_crash_digest(records=crash_records.MAX_SPREAD_RECORDS)
+    assert len(digests.encode_digest(digest)) < 4096
+
+
+def test_a_crash_of_an_unknown_state_is_refused():
+    data = digests.encode_digest(make_crash_digest(state=9))
+    with pytest.raises(digests.MalformedDigestError):
+        digests.decode_digest(data, zones=ZONES)
+
+
 @pytest.mark.parametrize("limit", [-1.0, math.nan, math.inf])
 def test_a_limit_that_is_no_number_of_calls_is_refused(limit):
     """Guards against a message that stops the calls to a server."""
--- a/libs/direct/tests/test_forwarding.py
+++ b/libs/direct/tests/test_forwarding.py
@@ -10,6 +10,7 @@
 from banyandale_direct import _admission as admission
 from banyandale_direct import _channels as channels
 from banyandale_direct import _configuration as configuration
+from banyandale_direct import _crash_records as crash_records
 from banyandale_direct import _forwarding as forwarding
 from banyandale_direct import _placement as placement
 from banyandale_direct import _protocols as protocols
@@ -44,6 +45,16 @@
         self.released = connection
 
 
+class Quarantine:
+    """Knows nothing against any content."""
+
+    async def catch_up(self):
+        pass
+
+    def suspicion(self, call):
+        return crash_records.Suspicion.NONE
+
+
 def make_exchange(pool):
     shared = types.SimpleNamespace(
         channels=types.SimpleNamespace(
@@ -54,6 +65,7 @@
             write_call=lambda *_, **__: None,
             read_answer=lambda call, response: protocols.AnswerKind.SERVED,
         ),
+        quarantine=Quarantine(),
         budget=lambda service: types.SimpleNamespace(
             record_call=lambda now: None
         ),
--- a/tests/adapter/test_crashing_calls.py
+++ b/tests/adapter/test_crashing_calls.py
@@ -1,6 +1,7 @@
 """Tests of requests that crash the servers that run them."""
 
 import itertools
+import json
 import signal
 import time
 
@@ -154,6 +155,100 @@
     deployments.run(tmp_path, scenario, GATEWAYS)
 
 
+def run_ordinary_load(tmp_path, harm, check):
+    """Runs ordinary calls while servers are harmed for other reasons."""
+
+    async def scenario(deployment, *ips):
+        load = CrashingLoad(deployment)
+        await load.add_servers(8)
+        await load.spawn_ordinary(ips)
+        await curio.sleep(0.5)
+        await harm(deployment)
+        await curio.sleep(1.0)
+        load.running = False
+        counted = [
+            event
+            for ip in ips
+            for event in deployment.read_events(ip, "crash_counted")
+        ]
+        for statuses in load.ordinary.values():
+            assert statuses.count(503) == 0
+            assert statuses.count(200) >= MIN_SERVED * len(statuses)
+        check(counted)
+
+    deployments.run(tmp_path, scenario, GATEWAYS)
+
+
+def test_calls_on_servers_that_end_for_other_reasons_stay_innocent(tmp_path):
+    """Guards against popular calls that are refused after several crashes."""
+
+    async def harm(deployment):
+        for server in deployment.servers:
+            # Some call is always running there.
+            server.work_seconds = 0.1
+        await curio.sleep(0.2)
+        for server in deployment.servers[:5]:
+            server.ended_at = time.monotonic()
+            await server.crash()
+            await curio.sleep(0.4)
+
+    def check(counted):
+        assert {event["suspicion"] for event in counted} <= {"suspect"}
+
+    run_ordinary_load(tmp_path, harm, check)
+
+
+def test_a_reset_connection_alone_is_no_evidence(tmp_path):
+    """Guards against servers that live and are taken for ended."""
+
+    async def harm(deployment):
+        for _ in range(5):
+            for server in deployment.servers[:2]:
+                server.override_response = lambda request: False
+            await curio.sleep(0.05)
+            for server in deployment.servers[:2]:
+                server.override_response = lambda request: None
+            await curio.sleep(0.2)
+
+    def check(counted):
+        assert counted == []
+
+    run_ordinary_load(tmp_path, harm, check)
+
+
+def test_operators_can_see_and_lift_what_is_refused(tmp_path):
+    """Guards against a content that stays refused after its repair."""
+
+    async def scenario(deployment, *ips):
+        load = CrashingLoad(deployment)
+        await load.add_servers(8)
+        await load.spawn_ordinary(ips)
+        await load.send_until(ips, time.monotonic() + 2.0)
+
+        async def ask(ip, path, method="GET"):
+            return await deployment.send(
+                ip, path, port=deployments.METRICS_PORT, method=method
+            )
+
+        listed = json.loads((await ask(ips[0], "/crashing-calls")).body)
+        (refused,) = [e for e in listed if e["suspicion"] == "certain"]
+        assert refused["crashes"] == CERTAIN_AFTER
+        assert len(refused["ended_servers"]) == CERTAIN_AFTER
+        for server in deployment.servers:
+            server.crash_prefix = None
+        path = f"/crashing-calls/{refused['content']}"
+        assert (await ask(ips[0], path, "DELETE")).status == 204
+        assert (await ask(ips[0], path, "DELETE")).status == 404
+        await curio.sleep(1.5)
+        for ip in ips:
+            assert (await load.send_crashing(ip)).status == 200
+        load.running = False
+        stored = await deployment.store.store.list(kind="crashes")
+        assert stored.objects == ()
+
+    deployments.run(tmp_path, scenario, GATEWAYS)
+
+
 def test_a_gateway_that_starts_late_knows_the_crashing_request(tmp_path):
     """Guards against gateways that judge by their own calls only."""
     late = "127.0.7.4"
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -108,6 +108,38 @@
     assert CODEC.read_configuration(make_stored({}, "config", "other")) is None
 
 
+def make_crash_record():
+    return direct.CrashRecord(
+        fingerprint=b"f" * direct.FINGERPRINT_BYTES,
+        crashes=tuple(
+            direct.Crash(
+                server_id=f"i-{order}",
+                started_unix_ms=5,
+                broke_at=100.0 + order,
+                order=order,
+            )
+            for order in range(3)
+        ),
+        expires_at=700.0,
+    )
+
+
+def test_crash_records_outlast_the_boot_clock():
+    """Guards against evidence that a VM which has just started misreads."""
+    record = make_crash_record()
+    value = json.loads(CODEC.write_crash_record(record, unix_offset=1000.0))
+    stored = make_stored(value, "crashes", record.fingerprint.hex())
+    read = CODEC.read_crash_record(stored, unix_offset=1090.0)
+    assert (read.fingerprint, read.count) == (record.fingerprint, 3)
+    assert [crash.broke_at for crash in read.crashes] == [10.0, 11.0, 12.0]
+    assert read.expires_at == 610.0
+    for name in ("x", "ff"):
+        with pytest.raises(direct.MalformedEntryError):
+            CODEC.read_crash_record(
+                make_stored(value, "crashes", name), unix_offset=0.0
+            )
+
+
 def test_gateways_can_read_their_entries():
     """Guards against entries that other gateways cannot read."""
     member = direct.Member(
--- a/tests/adapter/test_malformed_input.py
+++ b/tests/adapter/test_malformed_input.py
@@ -1,6 +1,7 @@
 """Tests of decoders with input that no correct sender produces."""
 
 import copy
+import dataclasses
 import json
 import random
 
@@ -11,6 +12,7 @@
 import banyandale_adapter as adapter
 import banyandale_direct as direct
 from banyandale_direct import _admission as admission
+from banyandale_direct import _crash_records as crash_records
 from banyandale_direct import _digests as digests
 from banyandale_direct import _members as members
 from banyandale_direct import _named_limits as named_limits
@@ -83,6 +85,12 @@
     "servers": make_server_entry(),
     "config": make_configuration(),
     "gateways": {"specification": {"zone": "a", "startedUnixMs": 1}},
+    "crashes": {
+        "specification": {
+            "crashes": [{"server": "i", "born": 1, "brokeAt": 1.5, "order": 0}],
+            "expiresAt": 2.5,
+        }
+    },
 }
 
 
@@ -99,6 +107,9 @@
         return codec.read_server(stored, zones=ZONES)
     if kind == "config":
         return codec.read_configuration(stored)
+    if kind == "crashes":
+        stored = dataclasses.replace(stored, name="ab" * 16)
+        return codec.read_crash_record(stored, unix_offset=0.0)
     return codec.read_member(stored)
 
 
@@ -157,6 +168,20 @@
                     said_at=0.0,
                 ),
             ),
+            crashes=(
+                crash_records.CrashRecord(
+                    fingerprint=b"f" * 16,
+                    crashes=(
+                        crash_records.Crash(
+                            server_id="i-1",
+                            started_unix_ms=1,
+                            broke_at=0.0,
+                            order=0,
+                        ),
+                    ),
+                    expires_at=10.0,
+                ),
+            ),
         )
     )
 
