direct: log and count the services whose servers a gateway does not reach

The logs could not tell a cut gateway from a service without servers: both refuse with no_server. path_lost and path_regained now name the service, its servers, how many did not answer and when one last did; the metric impaired_services counts them. Placement does not use any of this yet.

--- a/libs/direct/src/banyandale_direct/_channels.py
+++ b/libs/direct/src/banyandale_direct/_channels.py
@@ -8,6 +8,7 @@
 
 import banyandale_core as core
 from banyandale_direct import _configuration as configuration
+from banyandale_direct import _paths as paths
 from banyandale_direct import _placement as placement
 from banyandale_direct import _protocols as protocols
 from banyandale_direct import _registry as registry
@@ -85,10 +86,20 @@
         self,
         *,
         codec: protocols.ServerCodec,
+        monitor: paths.PathMonitor,
         events: core.EventLog,
         metrics: core.Metrics,
     ) -> None:
+        """Creates channels without connections.
+
+        Args:
+            codec: Format of the servers' reports.
+            monitor: Gets the outcome of each request for a report.
+            events: Log of the process.
+            metrics: Counters of the process.
+        """
         self._codec = codec
+        self._monitor = monitor
         self._events = events
         self._metrics = metrics
         self._pools: dict[str, http.Pool] = {}
@@ -161,6 +172,12 @@
         self._pending[server_id] = pending
         try:
             probe = await self._fetch_report(candidate, service, deadline)
+            self._monitor.record(
+                entry.server.service,
+                server_id,
+                reached=probe.candidate.report is not None,
+                now=probe.reported_at,
+            )
             self._last[server_id] = _LastReport(
                 report=probe.candidate.report, at=probe.reported_at
             )
--- a/libs/direct/src/banyandale_direct/_context.py
+++ b/libs/direct/src/banyandale_direct/_context.py
@@ -10,6 +10,7 @@
 from banyandale_direct import _members as members
 from banyandale_direct import _memory as memory
 from banyandale_direct import _named_limits as named_limits
+from banyandale_direct import _paths as paths
 from banyandale_direct import _protocols as protocols
 from banyandale_direct import _quarantine as quarantine
 from banyandale_direct import _registry as registry
@@ -30,6 +31,7 @@
     send_times: senders.SendTimes
     named_limits: named_limits.NamedLimits
     quarantine: quarantine.Quarantine
+    paths: paths.PathMonitor
     channels: channels.Channels
     members: members.MemberTable
     settings: settings.Settings
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -504,6 +504,7 @@
                 )
             except http.ConnectError as error:
                 attempt.error = error.code
+                self._record_path(server, reached=False)
                 return
         # There must be no await between these checks and the send: the call
         # could end or the server leave in between.
@@ -536,6 +537,7 @@
             # Closing the connection makes the server cancel the call.
             await pool.discard(connection)
             raise
+        self._record_path(server, reached=True)
         attempt.kind = self._shared.codec.read_answer(self._call, response)
         attempt.response = response
         self._record_limit(server, attempt)
@@ -547,6 +549,11 @@
         if attempt.kind in NOT_RUN_KINDS:
             attempt.run = core.RunMark.NOT_RUN
 
+    def _record_path(self, server: registry.Server, *, reached: bool) -> None:
+        self._shared.paths.record(
+            server.service, server.id, reached=reached, now=time.monotonic()
+        )
+
     def _record_limit(self, server: registry.Server, attempt: _Attempt) -> None:
         if attempt.kind in UNSIGNED_KINDS:
             return
--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -11,6 +11,7 @@
 import banyandale_core as core
 from banyandale_direct import _calls as calls
 from banyandale_direct import _channels as channels
+from banyandale_direct import _configuration as configuration
 from banyandale_direct import _context as context
 from banyandale_direct import _crash_records as crash_records
 from banyandale_direct import _demands as demands
@@ -19,6 +20,8 @@
 from banyandale_direct import _lookups as lookups
 from banyandale_direct import _members as members
 from banyandale_direct import _named_limits as named_limits
+from banyandale_direct import _path_checks as path_checks
+from banyandale_direct import _paths as paths
 from banyandale_direct import _protocols as protocols
 from banyandale_direct import _quarantine as quarantine
 from banyandale_direct import _registration as registration
@@ -96,6 +99,7 @@
             events=events,
             metrics=metrics,
         )
+        monitor = paths.PathMonitor()
         self._shared = context.Shared(
             registry=self._registry,
             server_health=server_health.ServerHealthTable(),
@@ -105,8 +109,12 @@
             send_times=send_times,
             named_limits=limits,
             quarantine=self._quarantine,
+            paths=monitor,
             channels=channels.Channels(
-                codec=adapter.servers, events=events, metrics=metrics
+                codec=adapter.servers,
+                monitor=monitor,
+                events=events,
+                metrics=metrics,
             ),
             members=self._table,
             settings=loaded,
@@ -118,6 +126,14 @@
         self._calls = calls.CallServer(
             shared=self._shared, codec=adapter.callers
         )
+        self._path_checker = path_checks.PathChecker(
+            monitor=monitor,
+            servers=self._registry,
+            asked=self._shared.channels,
+            current=self._current_configuration,
+            events=events,
+            metrics=metrics,
+        )
         self._store_updates = store_updates.StoreUpdateHandler(
             documents=adapter.documents,
             servers=self._registry,
@@ -175,6 +191,9 @@
             and self._quarantine.loaded
         )
 
+    def _current_configuration(self) -> configuration.Configuration | None:
+        return self._calls.configuration
+
     def _reads_store(self) -> bool:
         return self._replicator.should_read()
 
@@ -224,6 +243,7 @@
         await self._spawn("gossip sender", self._gossip.send)
         await self._spawn("following", self._replicator.run)
         await self._spawn("registration", self._registration.run)
+        await self._spawn("paths", self._path_checker.run)
         await self._spawn("quarantine", self._quarantine.run)
         await self._spawn("quarantine messages", self._quarantine.tell)
         await self._spawn("housekeeping", self._run_housekeeping)
@@ -317,6 +337,7 @@
             addresses = self._registry.addresses()
             known = frozenset(addresses)
             self._shared.server_health.keep_only(known)
+            self._shared.paths.keep_only(known)
             self._shared.send_times.forget_gone(known, now=time.monotonic())
             self._shared.named_limits.forget_gone(
                 known, boot_now=core.boot_seconds()
--- a/libs/direct/tests/test_channels.py
+++ b/libs/direct/tests/test_channels.py
@@ -7,6 +7,7 @@
 import banyandale_core as core
 from banyandale_direct import _channels as channels
 from banyandale_direct import _configuration as configuration
+from banyandale_direct import _paths as paths
 from banyandale_direct import _placement as placement
 from banyandale_direct import _registry as registry
 from banyandale_direct import _versions as versions
@@ -80,7 +81,10 @@
         entry = make_entry(address)
         metrics = core.MemoryMetrics()
         pools = channels.Channels(
-            codec=Codec(), events=Events(), metrics=metrics
+            monitor=paths.PathMonitor(),
+            codec=Codec(),
+            events=Events(),
+            metrics=metrics,
         )
 
         async def probe():
@@ -125,7 +129,10 @@
         entry = make_entry(address)
         events, metrics = Events(), core.MemoryMetrics()
         pools = channels.Channels(
-            codec=Garbled(), events=events, metrics=metrics
+            monitor=paths.PathMonitor(),
+            codec=Garbled(),
+            events=events,
+            metrics=metrics,
         )
         probe = await pools.probe(
             entry,
