tests: gateways that lose their path to the servers refuse what others serve

Five gateways as processes whose connections come from their own addresses (tests/adapter/launch.py), so that the stand-ins can cut single gateways.

--- a/tests/adapter/deployments.py
+++ b/tests/adapter/deployments.py
@@ -17,8 +17,8 @@
 GRACE_SECONDS = 6
 # Derived from the process id, so that parallel test runs do not collide.
 BASE_PORT = 20_000 + os.getpid() % 2000 * 10
-(CALL_PORT, READY_PORT, LOOKUP_PORT, PEER_PORT, METRICS_PORT) = (
-    BASE_PORT + offset for offset in range(5)
+(CALL_PORT, READY_PORT, LOOKUP_PORT, PEER_PORT, _, METRICS_PORT) = (
+    BASE_PORT + offset for offset in range(6)
 )
 RULES = [
     ("/read/", "idempotent", "s", {}),
@@ -95,7 +95,8 @@
         self.processes[ip] = subprocess.Popen(
             [
                 sys.executable,
-                str(ROOT / "platform" / "main.py"),
+                str(ROOT / "tests" / "adapter" / "launch.py"),
+                ip,
                 f"{METRICS_PORT}/metrics",
             ],
             env={**os.environ, "BANYANDALE_NODE_FILE": str(path)},
--- a/tests/adapter/standin.py
+++ b/tests/adapter/standin.py
@@ -16,6 +16,7 @@
 PAGE_SIZE = 3
 # Time for which a server runs a request that makes it crash.
 CRASH_SECONDS = 0.04
+CUT_CHECK_SECONDS = 0.02
 
 
 def make_response(status, body=None, headers=()):
@@ -36,7 +37,9 @@
         self.connections = 0
         self._listener = None
         self._tasks = []
-        self._serve_tasks = set()
+        # Address of the caller of each open connection.
+        self._serve_tasks = {}
+        self._cuts = {}
 
     async def start(self, address):
         self._listener = http.open_listener(address)
@@ -53,7 +56,11 @@
     async def _serve(self, sock):
         connection = http.ServerConnection(sock=sock)
         task = await curio.current_task()
-        self._serve_tasks.add(task)
+        ip = sock.getpeername()[0]
+        if self._cuts.get(ip) in ("reset", "no_new"):
+            await sock.close()
+            return
+        self._serve_tasks[task] = ip
         try:
             while True:
                 request = await connection.read_request(
@@ -61,7 +68,11 @@
                 )
                 if request is None:
                     return
+                while self._cuts.get(ip) == "silent":
+                    await curio.sleep(CUT_CHECK_SECONDS)
                 response = await self.handle(request, sock)
+                if self._cuts.get(ip) == "silent":
+                    return
                 if response is None:
                     return
                 await connection.send_response(response)
@@ -70,7 +81,7 @@
         except http.HttpError:
             return
         finally:
-            self._serve_tasks.discard(task)
+            self._serve_tasks.pop(task, None)
             await connection.close()
 
     async def stop(self):
@@ -78,11 +89,25 @@
             await task.cancel()
         await self._listener.close()
 
+    async def cut(self, ip, how):
+        """Cuts the path to one caller.
+
+        Args:
+            ip: Address of the caller.
+            how: `silent` hangs all connections, `reset` ends open and new
+                ones, `no_new` only new ones; None ends the cut.
+        """
+        self._cuts[ip] = how
+        if how == "reset":
+            for task, caller in list(self._serve_tasks.items()):
+                if caller == ip:
+                    await task.cancel(blocking=False)
+
     async def crash(self):
         """Ends like a process: all connections break, new ones are refused."""
         await self.stop()
         current = await curio.current_task()
-        for task in self._serve_tasks - {current}:
+        for task in self._serve_tasks.keys() - {current}:
             await task.cancel(blocking=False)
 
 
