direct: hand calls over to gateways that reach the servers

Cause: a gateway took its own position for the state of the servers. No report within 0.12 s meant no_server, or a blind send on a connection that did not open before the deadline. Ruled out: a lost store or lost gateways (digests and watches went on), and overload (the others logged no_room once).

Change: when no server reports, or half of a service's servers did not lately, the call goes to a gateway that reaches them: of the own zone if there are two, else also of the servers' zones; the less loaded of two that are asked right before. It carries the time left, its age, the attempts left and whether it is a repeat; the receiver places it, counts it and asks for permission for suspects; the sender takes its count back. A call is handed over once; a connection that breaks on the way means that it may have run; a receiver's own answer is passed on with its status and marked not run or unknown. Digests carry a byte per gateway with the groups of services that it does not reach, and nothing while there are none.

--- a/libs/direct/src/banyandale_direct/_budgets.py
+++ b/libs/direct/src/banyandale_direct/_budgets.py
@@ -43,6 +43,15 @@
         """Counts the first send of a call."""
         self._calls.append(now)
 
+    def forget_call(self, now: float) -> None:
+        """Takes back a call that another gateway counts.
+
+        Args:
+            now: Time at which it was counted.
+        """
+        if now in self._calls:
+            self._calls.remove(now)
+
     def try_spend(self, *, now: float, gateways: float) -> bool:
         """Spends one repeat if the budget allows it; returns whether it did.
 
--- a/libs/direct/src/banyandale_direct/_calls.py
+++ b/libs/direct/src/banyandale_direct/_calls.py
@@ -13,6 +13,7 @@
 from banyandale_direct import _configuration as configuration
 from banyandale_direct import _context as context
 from banyandale_direct import _forwarding as forwarding
+from banyandale_direct import _handovers as handovers
 from banyandale_direct import _pipelines as pipelines
 from banyandale_direct import _protocols as protocols
 from banyandale_direct import _shares as shares
@@ -21,6 +22,10 @@
 
 BAD_REQUEST_STATUS = 400
 NO_ROUTE_STATUS = 404
+# Refusals with these statuses are given before anything is sent to a server.
+NOT_RUN_STATUSES = frozenset(
+    {BAD_REQUEST_STATUS, NO_ROUTE_STATUS, forwarding.NOT_RUN_STATUS}
+)
 # Retry delay of callers while the gateway has no configuration yet; a start
 # takes about as long.
 UNCONFIGURED_RETRY_AFTER_SECONDS = 0.3
@@ -38,13 +43,15 @@
         current: Configuration in force at that time, or None.
         route: Its route, or None.
         error: Why its headers cannot be read, or None.
+        terms: How it was handed over; None for a call of a caller.
     """
 
     call: protocols.Call
     arrived_at: float
     current: configuration.Configuration | None = None
     route: configuration.Route | None = None
-    error: protocols.MalformedCallError | None = None
+    error: ValueError | None = None
+    terms: handovers.Terms | None = None
 
     @property
     def may_overlap(self) -> bool:
@@ -88,10 +95,20 @@
         return self.configuration.limits
 
     async def serve(self, sock: curio.io.Socket) -> None:
-        """Serves one connection until it ends."""
+        """Serves one connection of a caller until it ends."""
+        await self._converse(sock, handed_over=False)
+
+    async def serve_handed_over(self, sock: curio.io.Socket) -> None:
+        """Serves one connection of another gateway until it ends."""
+        await self._converse(sock, handed_over=True)
+
+    async def _converse(
+        self, sock: curio.io.Socket, *, handed_over: bool
+    ) -> None:
         conversation = _Conversation(
             server=self,
             shared=self._shared,
+            handed_over=handed_over,
             connection=http.ServerConnection(
                 sock=sock, max_head_bytes=self.limits().head_bytes
             ),
@@ -102,11 +119,29 @@
         finally:
             self.open_connections -= 1
 
-    def read_call(self, request: http.Request, arrived_at: float) -> _ReadCall:
-        """Reads a request and finds its route."""
+    def read_call(
+        self, request: http.Request, arrived_at: float, *, handed_over: bool
+    ) -> _ReadCall:
+        """Reads a request and finds its route.
+
+        Args:
+            request: The request.
+            arrived_at: Monotonic seconds when it had arrived.
+            handed_over: Whether another gateway sent it.
+        """
+        terms = None
         try:
+            if handed_over:
+                terms, request = handovers.take_terms(request)
             call = self._codec.read_call(request)
-        except protocols.MalformedCallError as error:
+            if terms is not None:
+                call = dataclasses.replace(
+                    call, remaining_seconds=terms.remaining_seconds
+                )
+        except (
+            protocols.MalformedCallError,
+            handovers.MalformedTermsError,
+        ) as error:
             call = protocols.Call(
                 id="", host="", path="", remaining_seconds=None, request=request
             )
@@ -117,12 +152,13 @@
             or not self._shared.registry.loaded
             or not self._shared.quarantine.loaded
         ):
-            return _ReadCall(call=call, arrived_at=arrived_at)
+            return _ReadCall(call=call, arrived_at=arrived_at, terms=terms)
         return _ReadCall(
             call=call,
             arrived_at=arrived_at,
             current=current,
             route=current.find_route(host=call.host, path=call.path),
+            terms=terms,
         )
 
     def decide(
@@ -148,7 +184,9 @@
                 admission.Refusal.STOPPING, STOPPING_RETRY_AFTER_SECONDS
             )
         age = 0.0
-        if call.remaining_seconds is not None:
+        if read.terms is not None:
+            age = read.terms.age_seconds
+        elif call.remaining_seconds is not None:
             age = self._shared.call_ages.find_age(
                 route.name, call.remaining_seconds
             )
@@ -160,6 +198,7 @@
             started_at=read.arrived_at,
             age_seconds=age,
             version=current.version,
+            terms=read.terms,
         )
 
     def _refuse_malformed(self, error: Exception) -> forwarding.FinalAnswer:
@@ -181,17 +220,29 @@
         )
 
     def write_answer(
-        self, call_id: str, final: forwarding.FinalAnswer
+        self,
+        call_id: str,
+        final: forwarding.FinalAnswer,
+        *,
+        handed_over: bool = False,
     ) -> http.Response:
         """Returns the response for a final answer."""
         if final.response is not None:
+            if handed_over:
+                return handovers.strip_marks(final.response)
             return final.response
-        return self._codec.write_refusal(
+        refusal = final.refusal or admission.Refusal.NO_ROOM
+        response = self._codec.write_refusal(
             call_id=call_id,
             status=final.status,
-            refusal=final.refusal or admission.Refusal.NO_ROOM,
+            refusal=refusal,
             retry_after_seconds=final.retry_after_seconds,
         )
+        if not handed_over:
+            return response
+        return handovers.mark_answer(
+            response, refusal=refusal, not_run=final.status in NOT_RUN_STATUSES
+        )
 
     def log_answer(
         self,
@@ -222,6 +273,7 @@
             seconds=round(seconds, 4),
             return_seconds=final.retry_after_seconds,
             config_version=current.version if current else None,
+            handed_over=read.terms is not None,
             attempts=attempts,
         )
 
@@ -234,9 +286,11 @@
         *,
         server: CallServer,
         shared: context.Shared,
+        handed_over: bool,
         connection: http.ServerConnection,
     ) -> None:
         self._server = server
+        self._handed_over = handed_over
         self._shared = shared
         self._connection = connection
         self._pipeline = pipelines.Pipeline()
@@ -279,7 +333,11 @@
             return False
         if request is None:
             return self._is_in_use(limits.idle_seconds)
-        read = self._server.read_call(request, self._connection.arrived_at)
+        read = self._server.read_call(
+            request,
+            self._connection.arrived_at,
+            handed_over=self._handed_over,
+        )
         slot = self._pipeline.add(
             repeatable=read.may_overlap, size=len(request.body)
         )
@@ -352,9 +410,10 @@
             if final is None:
                 return
             self._server.log_answer(read, final, attempts)
-            await self._send(
-                slot, self._server.write_answer(read.call.id, final)
+            response = self._server.write_answer(
+                read.call.id, final, handed_over=self._handed_over
             )
+            await self._send(slot, response)
         finally:
             self._server.open_calls -= 1
             if exchange is not None:
--- a/libs/direct/src/banyandale_direct/_channels.py
+++ b/libs/direct/src/banyandale_direct/_channels.py
@@ -131,6 +131,37 @@
         for address in self._pools.keys() - set(servers.values()):
             await self._pools.pop(address).retire()
 
+    async def acquire_answering(
+        self,
+        server: registry.Server,
+        service: configuration.Service,
+        *,
+        deadline: float,
+    ) -> http.ClientConnection:
+        """Returns a connection that has just carried an answer.
+
+        Raises:
+            HttpError: There is none. Nothing but a request for a report was
+                sent.
+        """
+        pool = self.pool(server.address)
+        connection = await pool.acquire(deadline=deadline, verified=True)
+        if connection.has_answered:
+            return connection
+        try:
+            await connection.exchange_matching(
+                self._codec.write_probe(service),
+                matches=self._codec.is_report,
+                limit=MAX_REPORT_BYTES,
+                deadline=min(
+                    deadline, time.monotonic() + REPORT_TIMEOUT_SECONDS
+                ),
+            )
+        except BaseException:
+            await pool.discard(connection)
+            raise
+        return connection
+
     async def release(self, probe: Probe) -> None:
         """Returns the connection of a probe that was not chosen to its pool."""
         if probe.connection is not None:
--- a/libs/direct/src/banyandale_direct/_context.py
+++ b/libs/direct/src/banyandale_direct/_context.py
@@ -7,6 +7,7 @@
 from banyandale_direct import _budgets as budgets
 from banyandale_direct import _channels as channels
 from banyandale_direct import _demands as demands
+from banyandale_direct import _handovers as handovers
 from banyandale_direct import _members as members
 from banyandale_direct import _memory as memory
 from banyandale_direct import _named_limits as named_limits
@@ -32,6 +33,7 @@
     named_limits: named_limits.NamedLimits
     quarantine: quarantine.Quarantine
     paths: paths.PathMonitor
+    handovers: handovers.Handovers
     channels: channels.Channels
     members: members.MemberTable
     settings: settings.Settings
--- a/libs/direct/src/banyandale_direct/_digests.py
+++ b/libs/direct/src/banyandale_direct/_digests.py
@@ -87,6 +87,7 @@
     message.reading = digest.reading
     message.configuration = digest.configuration
     message.members = digest.members.to_bytes()
+    message.impaired = digest.members.pack_impaired()
     held = message.init("held", len(digest.held))
     for entry, (kind, version) in zip(held, digest.held.items(), strict=True):
         entry.kind = kind
@@ -150,7 +151,9 @@
             sender=members.unpack_ip(message.sender),
             reading=message.reading,
             members=members.MemberBlock.from_bytes(
-                bytes(message.members), zones=zones
+                bytes(message.members),
+                zones=zones,
+                impaired=bytes(message.impaired),
             ),
             held={
                 entry.kind: versions.Version(entry.era, entry.version)
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -12,12 +12,15 @@
 
 import banyandale_core as core
 from banyandale_direct import _admission as admission
+from banyandale_direct import _budgets as budgets
 from banyandale_direct import _channels as channels
 from banyandale_direct import _configuration as configuration
 from banyandale_direct import _context as context
 from banyandale_direct import _crash_records as crash_records
 from banyandale_direct import _fingerprints as fingerprints
+from banyandale_direct import _handovers as handovers
 from banyandale_direct import _hedging as hedging
+from banyandale_direct import _members as members
 from banyandale_direct import _memory as memory
 from banyandale_direct import _named_limits as named_limits
 from banyandale_direct import _placement as placement
@@ -143,6 +146,7 @@
         started_at: float,
         age_seconds: float,
         version: int,
+        terms: handovers.Terms | None = None,
     ) -> None:
         """Creates an exchange.
 
@@ -155,7 +159,15 @@
             age_seconds: Time between the caller's first attempt and
                 `started_at`.
             version: Version of the configuration in use.
+            terms: How another gateway has handed the call over; None for a
+                call of a caller.
         """
+        if terms is not None:
+            route = dataclasses.replace(
+                route, max_attempts=min(route.max_attempts, terms.attempts)
+            )
+        self._terms = terms
+        self._age_seconds = age_seconds
         self._shared = shared
         self._call = call
         self._route = route
@@ -172,6 +184,7 @@
             service=service,
             target_at=started_at + route.target_seconds - age_seconds,
             answer_by=self._answer_by,
+            can_hand_over=self._can_hand_over,
         )
         self._events: curio.Queue = curio.Queue()
         self._tried: set[str] = set()
@@ -202,12 +215,17 @@
         """Deadline of the answer, in monotonic seconds."""
         return self._answer_by
 
+    @property
+    def _budget(self) -> budgets.RepeatBudget:
+        return self._shared.budget(self._service.name)
+
     async def run(self) -> FinalAnswer | None:
         """Returns the final answer, or None if the caller left."""
         if self._abandoned:
             self._log_caller_left()
             return None
-        self._shared.budget(self._service.name).record_call(self._started_at)
+        if self._terms is None or not self._terms.repeat:
+            self._budget.record_call(self._started_at)
         try:
             await self._start_attempt()
             return await self._finish()
@@ -334,7 +352,7 @@
         )
 
     def _spend_repeat(self) -> bool:
-        return self._shared.budget(self._service.name).try_spend(
+        return self._budget.try_spend(
             now=time.monotonic(),
             # A process that ended may have used this gateway's part.
             gateways=self._shared.election.count_gateways(
@@ -373,6 +391,13 @@
                 refusal=admission.Refusal.OUTCOME_UNKNOWN,
             )
         last = self._attempts[-1]
+        if last.refusal is not None and last.response is not None:
+            # A receiver's own answer.
+            return FinalAnswer(
+                response=last.response,
+                status=last.response.status,
+                refusal=last.refusal,
+            )
         if last.refusal is admission.Refusal.CRASHES_SERVERS:
             return refuse_not_run(last.refusal, CRASHING_RETRY_AFTER_SECONDS)
         wait = last.wait_seconds
@@ -421,12 +446,17 @@
             # The task may have been cancelled, and others wait for the permit.
             await curio.spawn(quarantined.release, permit, daemon=True)
             raise
-        await quarantined.release(permit)
+        await quarantined.release(attempt.permit)
 
     async def _attempt_permitted(self, attempt: _Attempt) -> None:
-        choice = await self._selection.choose(
-            tried=frozenset(self._tried), first=len(self._attempts) == 1
-        )
+        tried, first = frozenset(self._tried), len(self._attempts) == 1
+        choice = await self._selection.choose(tried=tried, first=first)
+        if choice.hand_over:
+            if await self._hand_over(attempt):
+                return
+            choice = await self._selection.choose(
+                tried=tried, first=first, direct=True
+            )
         attempt.refusal = choice.refusal
         attempt.wait_seconds = choice.wait_seconds
         probe = choice.probe
@@ -477,6 +507,134 @@
                 answers=overdue,
             )
 
+    def _can_hand_over(self) -> bool:
+        return self._terms is None and bool(self._list_receivers())
+
+    def _list_receivers(self) -> list[members.Member]:
+        settings = self._shared.settings
+        regions = {settings.regions.get(settings.zone), *self._route.regions}
+        servers = self._shared.registry.find(
+            self._service.name, now=time.monotonic()
+        )
+        found = self._shared.handovers.list_receivers(
+            service=self._service.name,
+            server_zones={entry.server.zone for entry in servers},
+            allowed_zones=[
+                zone
+                for zone, region in settings.regions.items()
+                if not self._route.regions or region in regions
+            ],
+        )
+        return [member for member in found if member.ip not in self._tried]
+
+    async def _hand_over(self, attempt: _Attempt) -> bool:
+        """Hands the call over to another gateway, if one takes it."""
+        receiver = await self._shared.handovers.choose(
+            self._list_receivers(), service=self._service.name
+        )
+        if receiver is None:
+            return False
+        # The receiver asks for permission itself.
+        await self._shared.quarantine.release(attempt.permit)
+        attempt.permit = quarantine.UNSUSPECTED
+        attempt.server_id = receiver.ip
+        self._tried.add(receiver.ip)
+        pool = self._shared.handovers.call_pool(receiver)
+        try:
+            connection = await pool.acquire(
+                deadline=min(
+                    self._answer_by,
+                    time.monotonic() + handovers.CONNECT_SECONDS,
+                ),
+                verified=True,
+            )
+        except http.ConnectError as error:
+            attempt.error = error.code
+            return True
+        if self._ended:
+            attempt.error = "call_ended"
+            await pool.release(connection)
+            return True
+        await self._exchange_over(attempt, receiver, pool, connection)
+        return True
+
+    async def _exchange_over(
+        self,
+        attempt: _Attempt,
+        receiver: handovers.Receiver,
+        pool: http.Pool,
+        connection: http.ClientConnection,
+    ) -> None:
+        """Sends the call to a receiver, and reads its answer."""
+        terms = self._make_terms()
+        if not terms.repeat:
+            # The receiver counts it.
+            self._budget.forget_call(self._started_at)
+        self._log_handed_over(receiver, terms)
+        attempt.sent = True
+        attempt.run = core.RunMark.UNKNOWN
+        try:
+            response = await connection.exchange_matching(
+                handovers.add_terms(self._call.request, terms),
+                matches=self._is_own,
+                limit=memory.MAX_ANSWER_BYTES,
+                deadline=self._answer_by,
+                reserve=self._reserve_memory,
+            )
+        except http.HttpError as error:
+            attempt.error = error.code
+            attempt.run = error.run
+            await pool.discard(connection)
+            return
+        except BaseException:
+            await pool.discard(connection)
+            raise
+        await pool.release(connection)
+        outcome = handovers.read_answer(response)
+        attempt.response = outcome.response
+        if outcome.refusal is None:
+            attempt.kind = self._shared.codec.read_answer(
+                self._call, outcome.response
+            )
+            return
+        attempt.run = outcome.run
+        if outcome.refusal in handovers.NOT_TAKEN:
+            attempt.sent = False
+            attempt.error = outcome.refusal.value
+        else:
+            attempt.refusal = outcome.refusal
+
+    def _make_terms(self) -> handovers.Terms:
+        now = time.monotonic()
+        # This attempt is counted already.
+        sends = self._count_sends() - 1
+        return handovers.Terms(
+            remaining_seconds=self._answer_by - now,
+            age_seconds=self._age_seconds + now - self._started_at,
+            attempts=max(self._route.max_attempts - sends, 1),
+            repeat=sends > 0,
+        )
+
+    def _log_handed_over(
+        self, receiver: handovers.Receiver, terms: handovers.Terms
+    ) -> None:
+        service = self._service.name
+        now = time.monotonic()
+        reached = self._shared.paths.reached_seconds_ago(service, now=now)
+        self._shared.metrics.incr("handovers:sent")
+        self._shared.events.write(
+            "handed_over",
+            request=self._call.id,
+            route=self._route.name,
+            service=service,
+            attempt=len(self._attempts),
+            gateway=receiver.ip,
+            open_calls=receiver.open_calls,
+            remaining=round(terms.remaining_seconds, 3),
+            attempts_left=terms.attempts,
+            reached_seconds_ago=None if reached is None else round(reached, 3),
+        )
+
     async def _plan_hedge(self, sent_at: float) -> None:
         if len(self._attempts) > 1 or not self._route.repeatable:
             return
@@ -499,10 +657,8 @@
         probe.connection = None
         if connection is None:
             try:
-                connection = await pool.acquire(
-                    deadline=self._answer_by, verified=True
-                )
-            except http.ConnectError as error:
+                connection = await self._acquire_connection(server)
+            except http.HttpError as error:
                 attempt.error = error.code
                 self._record_path(server, reached=False)
                 return
@@ -549,6 +705,21 @@
         if attempt.kind in NOT_RUN_KINDS:
             attempt.run = core.RunMark.NOT_RUN
 
+    async def _acquire_connection(
+        self, server: registry.Server
+    ) -> http.ClientConnection:
+        """Returns a connection to a server whose report was shared.
+
+        A call that may not be repeated is sent only where an answer came from:
+        a new connection may be closed before the server reads the call.
+        """
+        if self._route.repeatable:
+            pool = self._shared.channels.pool(server.address)
+            return await pool.acquire(deadline=self._answer_by, verified=True)
+        return await self._shared.channels.acquire_answering(
+            server, self._service, deadline=self._answer_by
+        )
+
     def _record_path(self, server: registry.Server, *, reached: bool) -> None:
         self._shared.paths.record(
             server.service, server.id, reached=reached, now=time.monotonic()
--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -17,6 +17,7 @@
 from banyandale_direct import _demands as demands
 from banyandale_direct import _endpoints as endpoints
 from banyandale_direct import _gossip as gossip
+from banyandale_direct import _handovers as handovers
 from banyandale_direct import _lookups as lookups
 from banyandale_direct import _members as members
 from banyandale_direct import _named_limits as named_limits
@@ -110,6 +111,13 @@
             named_limits=limits,
             quarantine=self._quarantine,
             paths=monitor,
+            handovers=handovers.Handovers(
+                table=self._table,
+                peer_port=peer_port,
+                handover_port=http.parse_address(loaded.handover_address)[1],
+                random_source=self._random,
+                metrics=metrics,
+            ),
             channels=channels.Channels(
                 codec=adapter.servers,
                 monitor=monitor,
@@ -131,6 +139,7 @@
             servers=self._registry,
             asked=self._shared.channels,
             current=self._current_configuration,
+            on_change=self._tell_impaired,
             events=events,
             metrics=metrics,
         )
@@ -194,6 +203,10 @@
     def _current_configuration(self) -> configuration.Configuration | None:
         return self._calls.configuration
 
+    async def _tell_impaired(self, groups: int) -> None:
+        self._table.set_impaired(groups)
+        await self._gossip.notify_zone(remote=True)
+
     def _reads_store(self) -> bool:
         return self._replicator.should_read()
 
@@ -222,6 +235,7 @@
         loaded = self._settings
         for address, serve in (
             (loaded.call_address, self._calls.serve),
+            (loaded.handover_address, self._calls.serve_handed_over),
             (loaded.ready_address, endpoints.Endpoint(self._serve_ready).serve),
             (
                 loaded.lookup_address,
@@ -305,6 +319,15 @@
         )
 
     def _serve_peer(self, request: http.Request) -> http.Response:
+        if request.target == handovers.LOAD_PATH.encode():
+            return http.Response(
+                status=200,
+                body=handovers.write_load(
+                    ready=self.is_ready(),
+                    impaired=self._table.own.impaired,
+                    open_calls=self._calls.open_calls,
+                ),
+            )
         if request.target.startswith(quarantine.TRIAL_PATH.encode()):
             return self._quarantine.serve(request)
         return self._replicator.serve_delta(request)
@@ -343,6 +366,9 @@
                 known, boot_now=core.boot_seconds()
             )
             await self._shared.channels.keep_only(addresses)
+            await self._shared.handovers.keep_only(
+                {member.ip for member in self._table.known()}
+            )
 
     def _reload(self, cause: str) -> None:
         """Applies settings that may change while the process runs."""
--- a/libs/direct/src/banyandale_direct/_members.py
+++ b/libs/direct/src/banyandale_direct/_members.py
@@ -44,6 +44,7 @@
 # IP address, index of the zone, whether it is ready, heartbeat counter, and
 # start time of the process in Unix milliseconds.
 _ROW = struct.Struct("!IB?IQ")
+PACKED_FIELDS = 5
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -58,6 +59,7 @@
         started_unix_ms: Start time of its process.
         beat: Heartbeat counter, incremented in each of its rounds.
         ready: Whether it may be listed to callers.
+        impaired: Groups of services whose servers it does not reach.
     """
 
     ip: str
@@ -65,6 +67,7 @@
     started_unix_ms: int
     beat: int
     ready: bool
+    impaired: int = 0
 
 
 @functools.lru_cache(maxsize=CACHED_GATEWAYS)
@@ -88,6 +91,7 @@
         ready: Whether it may be listed to callers.
         beat: Heartbeat counter.
         started_unix_ms: Start time of its process.
+        impaired: Groups of services whose servers it does not reach.
     """
 
     ip: int
@@ -95,6 +99,7 @@
     ready: bool
     beat: int
     started_unix_ms: int
+    impaired: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -125,15 +130,23 @@
                 member.ready,
                 member.beat,
                 member.started_unix_ms,
+                member.impaired,
             )
             for member in members
         )
         return cls(zones=zones, rows=rows)
 
     @classmethod
-    def from_bytes(cls, data: bytes, *, zones: tuple[str, ...]) -> Self:
+    def from_bytes(
+        cls, data: bytes, *, zones: tuple[str, ...], impaired: bytes = b""
+    ) -> Self:
         """Parses the packed form.
 
+        Args:
+            data: The rows.
+            zones: Sorted names of all zones.
+            impaired: One byte per row; empty if no gateway is impaired.
+
         Raises:
             ValueError: The data is not a number of whole rows of known zones.
         """
@@ -144,7 +157,14 @@
         for column in range(_ROW.size):
             start = column * count
             packed[column :: _ROW.size] = data[start : start + count]
-        rows = tuple(map(MemberRow._make, _ROW.iter_unpack(packed)))
+        if impaired and len(impaired) != count:
+            raise ValueError(f"{len(impaired)} bytes for {count} members")
+        rows = tuple(
+            MemberRow._make((*row, groups))
+            for row, groups in zip(
+                _ROW.iter_unpack(packed), impaired or bytes(count), strict=True
+            )
+        )
         for row in rows:
             if row.zone >= len(zones):
                 raise ValueError(f"there is no zone with index {row.zone}")
@@ -156,11 +176,19 @@
         Sorted rows differ little in most bytes, so that this order compresses
         to a third of the size of whole rows.
         """
-        packed = b"".join(_ROW.pack(*row) for row in sorted(self.rows))
+        packed = b"".join(
+            _ROW.pack(*row[:PACKED_FIELDS]) for row in sorted(self.rows)
+        )
         return b"".join(
             packed[column :: _ROW.size] for column in range(_ROW.size)
         )
 
+    def pack_impaired(self) -> bytes:
+        """Returns a byte per row in the packed order; empty if all are 0."""
+        if not any(row.impaired for row in self.rows):
+            return b""
+        return bytes(row.impaired for row in sorted(self.rows))
+
     def read(self, row: MemberRow) -> Member:
         """Returns the member that a row describes."""
         return Member(
@@ -169,6 +197,7 @@
             started_unix_ms=row.started_unix_ms,
             beat=row.beat,
             ready=row.ready,
+            impaired=row.impaired,
         )
 
 
@@ -214,6 +243,13 @@
         """Sets whether this gateway may be listed to callers."""
         self._own = dataclasses.replace(self._own, ready=ready)
 
+    def set_impaired(self, groups: int) -> None:
+        """Sets the groups of services that this gateway does not reach."""
+        # The others take a changed description only with a newer counter.
+        self._own = dataclasses.replace(
+            self._own, beat=self._own.beat + 1, impaired=groups
+        )
+
     def merge(self, block: MemberBlock, *, now: float) -> list[str]:
         """Merges the members that another gateway reports.
 
--- a/libs/direct/src/banyandale_direct/_path_checks.py
+++ b/libs/direct/src/banyandale_direct/_path_checks.py
@@ -4,7 +4,9 @@
 are not reached, so that their return is noticed while calls go elsewhere.
 """
 
+from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Mapping
 import time
 
 import curio
@@ -17,7 +19,7 @@
 import banyandale_http as http
 
 # Interval between the checks of impaired services.
-CHECK_SECONDS = 0.1
+CHECK_SECONDS = 0.2
 # Servers of each impaired service that are asked per check.
 CHECKED_SERVERS = 2
 
@@ -32,6 +34,7 @@
         servers: registry.Registry,
         asked: channels.Channels,
         current: Callable[[], configuration.Configuration | None],
+        on_change: Callable[[int], Awaitable[None]],
         events: core.EventLog,
         metrics: core.Metrics,
     ) -> None:
@@ -42,6 +45,7 @@
             servers: The registered servers.
             asked: Connections to the servers.
             current: Returns the configuration in force.
+            on_change: Called with the groups of impaired services.
             events: Log of the process.
             metrics: Counters of the process.
         """
@@ -49,6 +53,8 @@
         self._servers = servers
         self._channels = asked
         self._current = current
+        self._on_change = on_change
+        self._groups = 0
         self._events = events
         self._metrics = metrics
         self._impaired: dict[str, float] = {}
@@ -64,8 +70,9 @@
                 await self.check(current)
 
     async def check(self, current: configuration.Configuration) -> None:
-        """Logs changes, and asks servers of the impaired services."""
+        """Logs and tells changes, and asks servers that are not reached."""
         now = time.monotonic()
+        groups = 0
         for service in current.services.values():
             entries = {
                 entry.server.id: entry
@@ -75,20 +82,34 @@
                 service.name, entries.keys(), now=now
             )
             self._report(service.name, impaired, entries.keys(), now)
-            if not impaired:
-                continue
-            unreached = self._monitor.list_unreached(
-                service.name, entries.keys(), now=now
-            )
-            due = [i for i in unreached if i not in self._asking]
-            # The one that was asked longest ago comes first.
-            due.sort(key=lambda i: self._monitor.failed_at(service.name, i))
-            for server_id in due[:CHECKED_SERVERS]:
-                self._asking.add(server_id)
-                await curio.spawn(
-                    self._ask, entries[server_id], service, daemon=True
-                )
+            self._monitor.update_cut(service.name, entries.keys())
+            if impaired:
+                groups |= paths.group_mask(service.name)
+            if impaired or self._monitor.cut:
+                await self._ask_some(entries, service)
+        if self._monitor.cut:
+            groups = paths.ALL_GROUPS
         self._metrics.gauge("impaired_services", len(self._impaired))
+        if groups != self._groups:
+            self._groups = groups
+            await self._on_change(groups)
+
+    async def _ask_some(
+        self,
+        entries: Mapping[str, registry.Entry],
+        service: configuration.Service,
+    ) -> None:
+        """Asks the servers that failed or were asked longest ago."""
+        due = [i for i in entries if i not in self._asking]
+        due.sort(key=lambda i: self._monitor.failed_at(service.name, i))
+        if not self._monitor.cut:
+            now = time.monotonic()
+            due = self._monitor.list_unreached(service.name, due, now=now)
+        for server_id in due[:CHECKED_SERVERS]:
+            self._asking.add(server_id)
+            await curio.spawn(
+                self._ask, entries[server_id], service, daemon=True
+            )
 
     def _report(
         self,
--- a/libs/direct/src/banyandale_direct/_paths.py
+++ b/libs/direct/src/banyandale_direct/_paths.py
@@ -20,6 +20,7 @@
 FAILURE_SECONDS = 5.0
 # Number of groups of services that gateways tell apart.
 GROUPS = 8
+ALL_GROUPS = (1 << GROUPS) - 1
 
 
 def group_mask(service: str) -> int:
@@ -42,9 +43,14 @@
 
 
 class PathMonitor:
-    """The servers that this gateway reaches."""
+    """The servers that this gateway reaches.
+
+    Attributes:
+        cut: Whether no server of any service is reached.
+    """
 
     def __init__(self) -> None:
+        self.cut = False
         self._reach: dict[str, _Reach] = {}
         self._reached_at = -math.inf
 
@@ -62,6 +68,7 @@
         reach = self._reach.setdefault(service, _Reach())
         if reached:
             reach.reached_at = self._reached_at = now
+            self.cut = False
             reach.failed_at.pop(server_id, None)
         else:
             reach.failed_at[server_id] = now
@@ -85,23 +92,32 @@
         self, service: str, server_ids: Collection[str], *, now: float
     ) -> bool:
         """Returns whether half of a service's servers are not reached."""
+        if self.cut:
+            return True
         unreached = self.list_unreached(service, server_ids, now=now)
         return bool(unreached) and (
             len(unreached) >= IMPAIRED_SHARE * len(server_ids)
         )
 
     def failed_at(self, service: str, server_id: str) -> float:
-        """Returns when a server that is not reached last failed to answer."""
-        return self._reach[service].failed_at[server_id]
+        """Returns when a server last failed to answer; 0 if it did not."""
+        reach = self._reach.get(service)
+        return 0.0 if reach is None else reach.failed_at.get(server_id, 0.0)
 
-    def is_cut(self, service: str) -> bool:
-        """Returns whether no server of any service answered since one failed.
+    def update_cut(self, service: str, server_ids: Collection[str]) -> None:
+        """Records a cut if a service suggests that all of them are lost.
 
-        Args:
-            service: An impaired service.
+        That is so if half of its servers failed since any server answered. The
+        cut ends with the next answer.
         """
-        failed_at = self._reach[service].failed_at.values()
-        return bool(failed_at) and self._reached_at < min(failed_at)
+        reach = self._reach.get(service)
+        if reach is None or not server_ids:
+            return
+        failed = sum(
+            reach.failed_at.get(server_id, -math.inf) > self._reached_at
+            for server_id in server_ids
+        )
+        self.cut = self.cut or failed >= IMPAIRED_SHARE * len(server_ids)
 
     def reached_seconds_ago(self, service: str, *, now: float) -> float | None:
         """Returns the time since a server of a service answered."""
--- a/libs/direct/src/banyandale_direct/_selection.py
+++ b/libs/direct/src/banyandale_direct/_selection.py
@@ -4,6 +4,7 @@
 and `_server_health`; this module probes the servers and waits between attempts.
 """
 
+from collections.abc import Callable
 import dataclasses
 import time
 
@@ -35,6 +36,8 @@
         turn: Planned send if only servers that name a limit are left.
         outdated: Whether another call took the turn of the best server while
             this one probed.
+        unreached: Whether none of the probed servers answered.
+        hand_over: Whether other gateways may reach a server for the call.
     """
 
     probe: channels.Probe | None = None
@@ -45,6 +48,8 @@
     best: channels.Probe | None = None
     turn: named_limits.Turn | None = None
     outdated: bool = False
+    unreached: bool = False
+    hand_over: bool = False
 
     def describe(self, *, now: float) -> dict[str, object]:
         """Returns the log fields of a refusal."""
@@ -65,6 +70,7 @@
         service: configuration.Service,
         target_at: float,
         answer_by: float,
+        can_hand_over: Callable[[], bool],
     ) -> None:
         """Creates a selection.
 
@@ -75,27 +81,34 @@
             target_at: When an answer loses most of its value, in monotonic
                 seconds.
             answer_by: Deadline of the answer, in monotonic seconds.
+            can_hand_over: Returns whether other gateways may take the call.
         """
         self._shared = shared
         self._route = route
         self._service = service
         self._target_at = target_at
         self._answer_by = answer_by
+        self._can_hand_over = can_hand_over
         self._turn: named_limits.Turn | None = None
 
-    async def choose(self, *, tried: frozenset[str], first: bool) -> Choice:
+    async def choose(
+        self, *, tried: frozenset[str], first: bool, direct: bool = False
+    ) -> Choice:
         """Chooses a server, waiting for a better one where that helps.
 
         Args:
             tried: Ids of servers to which the call was already assigned.
             first: Whether this is the call's first attempt; only that one
                 waits.
+            direct: Whether no other gateway takes the call.
         """
         try:
             while True:
-                choice = await self._select_once(tried)
+                choice = await self._select_once(tried, direct=direct)
                 if choice.outdated:
                     continue
+                if choice.hand_over:
+                    return choice
                 if choice.probe is not None or not (first and choice.may_wait):
                     return choice
                 # This task is cancelled when the caller leaves or at the
@@ -118,12 +131,13 @@
             self._shared.named_limits.return_turn(self._turn)
             self._turn = None
 
-    async def _select_once(self, tried: frozenset[str]) -> Choice:
-        shared = self._shared
+    async def _select_once(
+        self, tried: frozenset[str], *, direct: bool
+    ) -> Choice:
         now = time.monotonic()
         entries = [
             entry
-            for entry in shared.registry.find(self._service.name, now=now)
+            for entry in self._shared.registry.find(self._service.name, now=now)
             if entry.server.id not in tried
             and self._region_allowed(entry.server.zone)
         ]
@@ -132,6 +146,46 @@
                 refusal=admission.Refusal.NO_SERVER,
                 wait_seconds=admission.MAX_RETRY_AFTER_SECONDS / 2,
             )
+        if direct:
+            return await self._select_among(entries, now)
+        ids = [entry.server.id for entry in entries]
+        monitor = self._shared.paths
+        impaired = monitor.is_impaired(self._service.name, ids, now=now)
+        if impaired and self._can_hand_over():
+            entries = self._list_reached(entries, now)
+            if not entries:
+                return Choice(
+                    refusal=admission.Refusal.NO_SERVER, hand_over=True
+                )
+        choice = await self._select_among(entries, now)
+        if choice.probe is None:
+            lost = impaired or choice.unreached
+        else:
+            # Nothing is known of a server that did not report.
+            lost = choice.probe.candidate.report is None
+        if not lost or choice.outdated or not self._can_hand_over():
+            return choice
+        if choice.probe is not None:
+            await self._shared.channels.release(choice.probe)
+        return Choice(refusal=admission.Refusal.NO_SERVER, hand_over=True)
+
+    def _list_reached(
+        self, entries: list[registry.Entry], now: float
+    ) -> list[registry.Entry]:
+        """Returns the servers that answer this gateway, as far as known."""
+        monitor = self._shared.paths
+        if monitor.cut:
+            return []
+        ids = [entry.server.id for entry in entries]
+        unreached = frozenset(
+            monitor.list_unreached(self._service.name, ids, now=now)
+        )
+        return [e for e in entries if e.server.id not in unreached]
+
+    async def _select_among(
+        self, entries: list[registry.Entry], now: float
+    ) -> Choice:
+        shared = self._shared
         demand = shared.demands.find(self._route)
         allowed = self._apply_named_limits(entries, now)
         if not allowed:
@@ -169,7 +223,12 @@
             choice = self._admit(probes, demand)
             if choice.probe is None:
                 return dataclasses.replace(
-                    choice, asked=len(probes), best=self._best(probes, demand)
+                    choice,
+                    asked=len(probes),
+                    best=self._best(probes, demand),
+                    unreached=all(
+                        probe.candidate.report is None for probe in probes
+                    ),
                 )
             return choice
         finally:
--- a/libs/direct/src/banyandale_direct/_settings.py
+++ b/libs/direct/src/banyandale_direct/_settings.py
@@ -18,6 +18,8 @@
         peer_address: Address to which other gateways send digests (UDP) and
             from which they fetch replicas (TCP). All gateways use the same
             ports.
+        handover_address: Address for calls that other gateways hand over. All
+            gateways use the same port.
         metrics_address: Address of the metrics endpoint.
         metrics_path: Path of the metrics endpoint.
         seed_ips: IP addresses of gateways that may be running.
@@ -36,6 +38,7 @@
     ready_address: str
     lookup_address: str
     peer_address: str
+    handover_address: str
     metrics_address: str
     metrics_path: str
     seed_ips: tuple[str, ...]
--- a/libs/direct/src/banyandale_direct/members.capnp
+++ b/libs/direct/src/banyandale_direct/members.capnp
@@ -26,6 +26,9 @@
   recordsLoaded @8 :Bool;
   # Whether `crashRecords` contains all records of the sender.
   recordsComplete @9 :Bool;
+  # One byte per row of `members`, in their order: groups of services whose
+  # servers the gateway does not reach. Empty if there are none.
+  impaired @10 :Data;
 }
 
 struct CrashRecord {
--- a/libs/direct/tests/test_path_checks.py
+++ b/libs/direct/tests/test_path_checks.py
@@ -71,11 +71,17 @@
             version=versions.Version(0, 1),
             now=0.0,
         )
+    told = []
+
+    async def tell(groups):
+        told.append(groups)
+
     checker = path_checks.PathChecker(
         monitor=monitor,
         servers=servers,
         asked=asked,
         current=lambda: CURRENT,
+        on_change=tell,
         events=events,
         metrics=core.MemoryMetrics(),
     )
@@ -95,12 +101,15 @@
         for _ in range(20):
             await check()
         assert events.names == ["path_lost"]
+        # No other service answers either.
+        assert told == [paths.ALL_GROUPS]
         # All of them are asked in turn.
         assert len(set(asked.asked)) == 6
         asked.reached = True
         for _ in range(4):
             await check()
         assert events.names == ["path_lost", "path_regained"]
+        assert told[-1] == 0
         asked.asked.clear()
         await check()
         assert asked.asked == []
--- a/libs/direct/tests/test_paths.py
+++ b/libs/direct/tests/test_paths.py
@@ -44,9 +44,14 @@
     monitor = paths.PathMonitor()
     monitor.record("t", "j", reached=True, now=0.0)
     fail(monitor, SERVERS, now=1.0)
-    assert monitor.is_cut("s")
+    monitor.update_cut("t", ["j"])
+    assert not monitor.cut
+    monitor.update_cut("s", SERVERS)
+    assert monitor.cut
     monitor.record("t", "j", reached=True, now=1.1)
-    assert not monitor.is_cut("s")
+    assert not monitor.cut
+    monitor.update_cut("s", SERVERS)
+    assert not monitor.cut
 
 
 def test_services_share_few_groups():
--- a/libs/http/src/banyandale_http/_client.py
+++ b/libs/http/src/banyandale_http/_client.py
@@ -37,6 +37,7 @@
             socket.
         last_verified_at: Monotonic seconds when the connection was opened or
             last carried a complete response.
+        has_answered: Whether it has carried a complete response.
     """
 
     def __init__(self, *, sock: curio.io.Socket, address: str) -> None:
@@ -52,6 +53,7 @@
         self._event_count = 0
         self.sent = False
         self.last_verified_at = time.monotonic()
+        self.has_answered = False
 
     @classmethod
     async def open(
@@ -339,6 +341,7 @@
         ):
             self._http.start_next_cycle()
             self.last_verified_at = time.monotonic()
+            self.has_answered = True
 
     async def read_body(
         self,
