direct: lookups name gateways that reach the servers first

Callers of a zone whose gateways are cut got their addresses, so each of their calls took one hop more. Gateways with impaired services are now named only if there are no others; as many addresses as half of the zone's gateways are given then, those of other zones included, so that the last gateway that reaches the servers does not get all callers.

--- a/libs/direct/src/banyandale_direct/_lookups.py
+++ b/libs/direct/src/banyandale_direct/_lookups.py
@@ -9,6 +9,10 @@
 While the servers of a zone are out of service, its callers get the gateways of
 the other zones of its region: a gateway of their own zone would have to send
 each of their calls, and each answer, across zones once more.
+
+Gateways that do not reach some servers hand calls over, so they are named only
+if there are no others. As many gateways as half of the zone's then share its
+callers, those of other zones included.
 """
 
 from collections.abc import Collection
@@ -60,16 +64,22 @@
         random_source: Draws addresses when there are more than needed.
     """
     ready = [member for member in live if member.ready]
-    serving = [m for m in ready if m.zone not in zones_out]
+    reaching = [member for member in ready if not member.impaired]
+    serving = [m for m in reaching or ready if m.zone not in zones_out]
     if zone in zones_out:
         region = regions.get(zone)
         preferred = [m for m in serving if regions.get(m.zone) == region]
     else:
         preferred = [m for m in serving if m.zone == zone]
+    needed = MIN_ADDRESSES
+    if len(reaching) < len(ready):
+        in_zone = sum(member.zone == zone for member in ready)
+        needed = max(needed, min(len(reaching), in_zone // 2))
     local = [f"{m.ip}:{port}" for m in preferred]
-    if len(local) < MIN_ADDRESSES:
-        others = [f"{m.ip}:{port}" for m in ready if m not in preferred]
-        count = min(MIN_ADDRESSES - len(local), len(others))
+    for candidates in (reaching, ready):
+        others = [f"{m.ip}:{port}" for m in candidates]
+        others = [address for address in others if address not in local]
+        count = min(max(needed - len(local), 0), len(others))
         local += random_source.sample(others, count)
     if len(local) > MAX_ADDRESSES:
         local = random_source.sample(local, MAX_ADDRESSES)
--- a/libs/direct/tests/test_lookups.py
+++ b/libs/direct/tests/test_lookups.py
@@ -20,13 +20,14 @@
     )
 
 
-def make_member(number, zone, *, ready=True):
+def make_member(number, zone, *, ready=True, impaired=0):
     return members.Member(
         ip=f"10.0.0.{number}",
         zone=zone,
         started_unix_ms=1,
         beat=1,
         ready=ready,
+        impaired=impaired,
     )
 
 
@@ -97,3 +98,27 @@
     assert len(choose(live, "a", {"a", "b"})) == lookups.MIN_ADDRESSES
     few = [make_member(1, "a"), make_member(2, "b")]
     assert set(choose(few, "a", {"a"})) == {"10.0.0.1:80", "10.0.0.2:80"}
+
+
+def test_gateways_that_reach_the_servers_come_first():
+    """Guards against callers whose calls are all handed over."""
+    live = [make_member(n, "a", impaired=int(n < 4)) for n in range(6)]
+    assert set(choose(live)) == {"10.0.0.4:80", "10.0.0.5:80"}
+
+
+def test_callers_of_a_cut_zone_are_spread_over_others():
+    """Guards against one gateway that gets the callers of a whole zone."""
+    live = [make_member(n, "a", impaired=int(n > 0)) for n in range(20)]
+    live += [make_member(n, "b") for n in range(20, 40)]
+    found = choose(live)
+    assert "10.0.0.0:80" in found
+    assert len(found) == 10
+    assert all(address not in found for address in ("10.0.0.1:80",))
+
+
+def test_a_cut_fleet_is_still_named():
+    live = [make_member(n, "a", impaired=1) for n in range(4)]
+    assert len(choose(live)) == 4
+    # The last one that reaches the servers is not left alone.
+    live[0] = make_member(0, "a")
+    assert len(choose(live)) == lookups.MIN_ADDRESSES
--- a/tests/adapter/test_cut_gateways.py
+++ b/tests/adapter/test_cut_gateways.py
@@ -1,6 +1,8 @@
 """Tests of gateways that lose their path to the servers."""
 
 import itertools
+import json
+import signal
 import time
 
 import curio
@@ -105,7 +107,7 @@
     assert len(executed) == len(set(executed))
 
 
-def run_cut(tmp_path, how, *, cut_count, spared=0, check=None):
+def run_cut(tmp_path, how, *, cut_count, spared=0):
     async def scenario(deployment, *ips):
         callers = await prepare(deployment, ips)
         if spared:
@@ -146,3 +148,130 @@
 
 def test_one_gateway_serves_the_calls_of_four(tmp_path):
     run_cut(tmp_path, "silent", cut_count=4)
+
+
+def test_a_call_that_no_gateway_can_serve_is_refused_at_once(tmp_path):
+    """Guards against calls that wait, or go round, while all are cut."""
+
+    async def scenario(deployment, *ips):
+        callers = await prepare(deployment, ips)
+        await cut(deployment, ips, "silent")
+        await curio.sleep(CUT_SECONDS)
+        callers.running = False
+        await curio.sleep(0.5)
+        answers = callers.list_answers(ips, time.monotonic() - CUT_SECONDS / 2)
+        assert {status for status, _ in answers} == {503}
+        assert max(seconds for _, seconds in answers) < REFUSED_SECONDS
+        check_runs(deployment)
+
+    deployments.run(tmp_path, scenario, GATEWAYS)
+
+
+def test_cuts_that_come_and_go(tmp_path):
+    """Guards against a verdict that outlasts the cut, or comes too late."""
+
+    async def scenario(deployment, *ips):
+        callers = await prepare(deployment, ips)
+        started_at = time.monotonic()
+        for how in ("silent", "reset", "no_new", "silent"):
+            await cut(deployment, ips[:2], how)
+            await curio.sleep(1.0)
+            await cut(deployment, ips[:2], None)
+            await curio.sleep(0.7)
+        callers.running = False
+        await curio.sleep(1.0)
+        for second in range(4):
+            since = started_at + 1.7 * second + SETTLE_SECONDS
+            check_served(callers.list_answers(ips[:2], since, since + 0.5))
+        check_runs(deployment)
+
+    deployments.run(tmp_path, scenario, GATEWAYS)
+
+
+def test_a_frozen_or_stopping_gateway_gets_no_calls(tmp_path):
+    """Guards against calls that are handed over to a gateway that hangs."""
+
+    async def scenario(deployment, *ips):
+        callers = await prepare(deployment, ips)
+        await cut(deployment, ips[:2], "silent")
+        await curio.sleep(1.0)
+        deployment.processes[ips[2]].send_signal(signal.SIGSTOP)
+        deployment.processes[ips[3]].send_signal(signal.SIGTERM)
+        frozen_at = time.monotonic()
+        await curio.sleep(3.0)
+        callers.running = False
+        await curio.sleep(1.0)
+        # A call that the frozen gateway had just taken is lost.
+        since = frozen_at + SETTLE_SECONDS
+        check_served(callers.list_answers(ips[:2], since))
+        check_runs(deployment)
+        deployment.processes[ips[2]].send_signal(signal.SIGCONT)
+        await curio.sleep(0.5)
+
+    deployments.run(tmp_path, scenario, GATEWAYS)
+
+
+def test_a_call_is_handed_over_once_and_counted_once(tmp_path):
+    """Guards against calls that go round, and limits that count twice."""
+
+    async def scenario(deployment, *ips):
+        callers = await prepare(deployment, ips)
+        await cut(deployment, ips[:2], "silent")
+        await curio.sleep(2.0)
+        callers.running = False
+        await curio.sleep(0.5)
+        handed = {}
+        for ip in ips:
+            for event in deployment.read_events(ip, "handed_over"):
+                handed.setdefault(event["request"], []).append(ip)
+        assert len(handed) > 20
+        assert all(len(gateways) == 1 for gateways in handed.values())
+        executed = {}
+        for server in deployment.servers:
+            for name, headers in zip(
+                server.executed_ids, server.executed_headers, strict=True
+            ):
+                executed.setdefault(name, []).append(headers)
+        for name in handed:
+            for headers in executed.get(name, []):
+                assert b"banyandale-handover" not in headers
+                # The caller's 2500 ms, reduced by what has passed.
+                assert 0 < int(headers[b"x-deadline-ms"]) < 2500
+        # Afterwards no call is handed over any more.
+        await cut(deployment, ips[:2], None)
+        await curio.sleep(1.0)
+        before = {
+            ip: len(deployment.read_events(ip, "handed_over")) for ip in ips
+        }
+        for number in range(20):
+            response = await deployment.send(
+                ips[0], "/read/x", name=f"z{number}"
+            )
+            assert response.status == 200
+        for ip in ips:
+            assert len(deployment.read_events(ip, "handed_over")) == before[ip]
+
+    deployments.run(tmp_path, scenario, GATEWAYS)
+
+
+def test_lookups_name_gateways_that_reach_the_servers(tmp_path):
+    """Guards against callers that are sent to gateways that must hand over."""
+
+    async def scenario(deployment, *ips):
+        callers = await prepare(deployment, ips)
+        await cut(deployment, ips[:3], "silent")
+        await curio.sleep(2.0)
+        for ip in ips:
+            response = await deployment.send(
+                ip,
+                "/banyandale/resolve?name=h.example&zone=a",
+                port=deployments.LOOKUP_PORT,
+            )
+            named = {
+                address.split(":")[0]
+                for address in json.loads(response.body)["addresses"]
+            }
+            assert named == set(ips[3:])
+        callers.running = False
+
+    deployments.run(tmp_path, scenario, GATEWAYS)
