--- a/libs/direct/tests/test_digests.py
+++ b/libs/direct/tests/test_digests.py
@@ -95,6 +95,44 @@
         assert dataclasses.replace(after, said_at=before.said_at) == before
 
 
+def test_impaired_gateways_are_told_apart():
+    """Guards against groups that are read for another gateway."""
+    known = [
+        members.Member(
+            ip=f"10.0.{n // 250}.{n % 250}",
+            zone="ab"[n % 2],
+            started_unix_ms=n,
+            beat=n,
+            ready=True,
+            impaired=n % 7,
+        )
+        for n in range(312, 0, -1)
+    ]
+    digest = digests.Digest(
+        sender="10.0.0.1", reading=False, members=make_block(*known), held={}
+    )
+    data = digests.encode_digest(digest)
+    decoded = digests.decode_digest(data, zones=ZONES)
+    assert set(decoded.members.rows) == set(digest.members.rows)
+
+
+def test_impaired_services_cost_nothing_while_there_are_none():
+    """Guards against digests that grow on calm days."""
+    block = make_block(
+        *(
+            members.Member(
+                ip=f"10.0.0.{n}",
+                zone="a",
+                started_unix_ms=n,
+                beat=n,
+                ready=True,
+            )
+            for n in range(1, 100)
+        )
+    )
+    assert block.pack_impaired() == b""
+
+
 def make_crash_digest(*, records=1, state=0):
     """Returns a digest with crash records of a second ago."""
     now = core.boot_seconds()
