http: let keep-alive probes decide when a connection ends

Cause: set_options sets TCP_USER_TIMEOUT to 10 s on each connection, and on Linux that value decides when keep-alive gives up, whatever the count of probes. A silent connection to the store was held for 10 s, not for the 3 s of the KEEPALIVE constants (watches have their own deadline of 2.5 s). Change: connections with keep-alive get a user timeout equal to the probes' time.

--- a/libs/http/src/banyandale_http/_sockets.py
+++ b/libs/http/src/banyandale_http/_sockets.py
@@ -16,6 +16,11 @@
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
+# On Linux, a TCP_USER_TIMEOUT decides when keep-alive gives up, whatever the
+# number of probes.
+KEEPALIVE_TIMEOUT_MS = (
+    KEEPALIVE_IDLE_SECONDS + KEEPALIVE_INTERVAL_SECONDS * KEEPALIVE_PROBES
+) * 1000
 
 
 def parse_address(address: str) -> tuple[str, int]:
@@ -47,6 +52,9 @@
         (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, KEEPALIVE_TIMEOUT_MS
+    )
 
 
 async def open_socket(
