direct: wait for load reports that come late

No report within 0.12 s was no_server also where the servers accepted connections and were only slow, as on a busy machine. Such a call now asks again, with twice the time, for up to 0.5 s in all; not if no server of the service has answered for 2 s, nor if another gateway takes it. Reports shared between calls keep that mark.

--- a/libs/direct/src/banyandale_direct/_channels.py
+++ b/libs/direct/src/banyandale_direct/_channels.py
@@ -22,6 +22,9 @@
 # after one or two round trips of at most 8 ms; a server that takes longer is no
 # better than one of another zone.
 REPORT_TIMEOUT_SECONDS = 0.12
+# Longest wait of a call for the reports of servers that accept connections and
+# are slow to report, for example because their machine is busy.
+LATE_REPORT_SECONDS = 0.5
 # Extra time for the remaining reports after the first one arrived.
 EXTRA_REPORT_SECONDS = 0.012
 MAX_REPORT_BYTES = 65536
@@ -38,11 +41,13 @@
         candidate: The server and its report.
         connection: Connection that has just carried the report, or None.
         reported_at: Monotonic seconds when the report arrived.
+        late: Whether there was a connection, but no report in time.
     """
 
     candidate: placement.Candidate
     connection: http.ClientConnection | None
     reported_at: float
+    late: bool = False
 
     def describe(self, *, now: float) -> dict[str, object]:
         """Returns the log fields of a decision based on this report."""
@@ -72,11 +77,13 @@
         report: The report, or None when the server did not answer.
         at: Monotonic seconds when it arrived.
         sent_since: Calls that this gateway has sent to the server since.
+        late: Whether the server accepted a connection, but did not answer.
     """
 
     report: placement.LoadReport | None
     at: float
     sent_since: int = 0
+    late: bool = False
 
 
 class Channels:
@@ -141,8 +148,8 @@
         """Returns a connection that has just carried an answer.
 
         Raises:
-            HttpError: There is none. Nothing but a request for a report was
-                sent.
+            HttpError: There was none before the deadline. Nothing but a
+                request for a report was sent.
         """
         pool = self.pool(server.address)
         connection = await pool.acquire(deadline=deadline, verified=True)
@@ -153,9 +160,7 @@
                 self._codec.write_probe(service),
                 matches=self._codec.is_report,
                 limit=MAX_REPORT_BYTES,
-                deadline=min(
-                    deadline, time.monotonic() + REPORT_TIMEOUT_SECONDS
-                ),
+                deadline=deadline,
             )
         except BaseException:
             await pool.discard(connection)
@@ -210,7 +215,9 @@
                 now=probe.reported_at,
             )
             self._last[server_id] = _LastReport(
-                report=probe.candidate.report, at=probe.reported_at
+                report=probe.candidate.report,
+                at=probe.reported_at,
+                late=probe.late,
             )
             return probe
         finally:
@@ -229,6 +236,7 @@
         pool = self.pool(entry.server.address)
         report = None
         connection = None
+        late = False
         for _ in range(2):
             try:
                 connection = await pool.acquire(deadline=deadline)
@@ -244,6 +252,7 @@
                 )
             except http.HttpError as error:
                 self._metrics.incr(f"probe_failed:{error.code}")
+                late = isinstance(error, http.ResponseTimeoutError)
                 await pool.discard(connection)
                 await pool.clear()
                 connection = None
@@ -261,6 +270,7 @@
             candidate=dataclasses.replace(candidate, report=report),
             connection=connection,
             reported_at=time.monotonic(),
+            late=late,
         )
 
     def _read_report(
@@ -287,6 +297,7 @@
         candidate=dataclasses.replace(candidate, report=report),
         connection=None,
         reported_at=last.at,
+        late=last.late,
     )
 
 
@@ -308,21 +319,31 @@
         self._closed = False
         self._arrived: curio.Queue = curio.Queue()
 
-    async def collect(self, entries: list[registry.Entry]) -> list[Probe]:
+    async def collect(
+        self,
+        entries: list[registry.Entry],
+        *,
+        timeout_seconds: float = REPORT_TIMEOUT_SECONDS,
+    ) -> list[Probe]:
         """Returns the probes that arrived in time.
 
         Waiting ends with the first report of an idle server of normal speed in
         the own zone. Otherwise it ends at most `EXTRA_REPORT_SECONDS` after the
         first report.
+
+        Args:
+            entries: The servers.
+            timeout_seconds: Longest wait for a report.
         """
         now = time.monotonic()
-        deadline = now + REPORT_TIMEOUT_SECONDS
+        deadline = now + timeout_seconds
         for entry in entries:
             await curio.spawn(
                 self._probe_one, entry, now, deadline, daemon=True
             )
         probes: list[Probe] = []
-        until = deadline
+        # A task whose report is overdue ends a moment later.
+        until = deadline + EXTRA_REPORT_SECONDS
         while len(probes) < len(entries):
             try:
                 async with core.timeout_at(until):
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -716,8 +716,12 @@
         if self._route.repeatable:
             pool = self._shared.channels.pool(server.address)
             return await pool.acquire(deadline=self._answer_by, verified=True)
+        deadline = max(
+            self._started_at + channels.LATE_REPORT_SECONDS,
+            time.monotonic() + channels.REPORT_TIMEOUT_SECONDS,
+        )
         return await self._shared.channels.acquire_answering(
-            server, self._service, deadline=self._answer_by
+            server, self._service, deadline=min(deadline, self._answer_by)
         )
 
     def _record_path(self, server: registry.Server, *, reached: bool) -> None:
--- a/libs/direct/src/banyandale_direct/_path_checks.py
+++ b/libs/direct/src/banyandale_direct/_path_checks.py
@@ -78,7 +78,7 @@
                 entry.server.id: entry
                 for entry in self._servers.find(service.name, now=now)
             }
-            impaired = self._monitor.is_impaired(
+            impaired = bool(entries) and self._monitor.is_impaired(
                 service.name, entries.keys(), now=now
             )
             self._report(service.name, impaired, entries.keys(), now)
--- a/libs/direct/src/banyandale_direct/_paths.py
+++ b/libs/direct/src/banyandale_direct/_paths.py
@@ -18,6 +18,8 @@
 # A failure counts for this long, unless the server answers earlier. Impaired
 # services are checked more often.
 FAILURE_SECONDS = 5.0
+# Servers none of which has answered for this long are not waited for.
+HANGING_SECONDS = 2.0
 # Number of groups of services that gateways tell apart.
 GROUPS = 8
 ALL_GROUPS = (1 << GROUPS) - 1
@@ -35,10 +37,12 @@
 
     Attributes:
         reached_at: Monotonic seconds when a server last answered.
+        failing_since: When a server first failed after that.
         failed_at: Last failure of each server since its last answer.
     """
 
     reached_at: float = -math.inf
+    failing_since: float = math.inf
     failed_at: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
@@ -69,9 +73,11 @@
         if reached:
             reach.reached_at = self._reached_at = now
             self.cut = False
+            reach.failing_since = math.inf
             reach.failed_at.pop(server_id, None)
         else:
             reach.failed_at[server_id] = now
+            reach.failing_since = min(reach.failing_since, now)
 
     def list_unreached(
         self, service: str, server_ids: Collection[str], *, now: float
@@ -119,6 +125,14 @@
         )
         self.cut = self.cut or failed >= IMPAIRED_SHARE * len(server_ids)
 
+    def may_answer_late(self, service: str, *, now: float) -> bool:
+        """Returns whether to wait for the servers of a service.
+
+        Not if none has answered for so long that they hang.
+        """
+        reach = self._reach.get(service)
+        return reach is None or now < reach.failing_since + HANGING_SECONDS
+
     def reached_seconds_ago(self, service: str, *, now: float) -> float | None:
         """Returns the time since a server of a service answered."""
         reach = self._reach.get(service)
--- a/libs/direct/src/banyandale_direct/_selection.py
+++ b/libs/direct/src/banyandale_direct/_selection.py
@@ -37,6 +37,7 @@
         outdated: Whether another call took the turn of the best server while
             this one probed.
         unreached: Whether none of the probed servers answered.
+        late: Whether none answered, but some accepted a connection.
         hand_over: Whether other gateways may reach a server for the call.
     """
 
@@ -49,6 +50,7 @@
     turn: named_limits.Turn | None = None
     outdated: bool = False
     unreached: bool = False
+    late: bool = False
     hand_over: bool = False
 
     def describe(self, *, now: float) -> dict[str, object]:
@@ -90,6 +92,7 @@
         self._answer_by = answer_by
         self._can_hand_over = can_hand_over
         self._turn: named_limits.Turn | None = None
+        self._report_seconds = channels.REPORT_TIMEOUT_SECONDS
 
     async def choose(
         self, *, tried: frozenset[str], first: bool, direct: bool = False
@@ -102,6 +105,7 @@
                 waits.
             direct: Whether no other gateway takes the call.
         """
+        late_until = time.monotonic() + channels.LATE_REPORT_SECONDS
         try:
             while True:
                 choice = await self._select_once(tried, direct=direct)
@@ -109,6 +113,18 @@
                     continue
                 if choice.hand_over:
                     return choice
+                now = time.monotonic()
+                left = late_until - now
+                if (
+                    choice.late
+                    and left > 0
+                    and self._shared.paths.may_answer_late(
+                        self._service.name, now=now
+                    )
+                ):
+                    # Servers that accept connections are there.
+                    self._report_seconds = min(2 * self._report_seconds, left)
+                    continue
                 if choice.probe is not None or not (first and choice.may_wait):
                     return choice
                 # This task is cancelled when the caller leaves or at the
@@ -219,16 +235,18 @@
                 drawn = placement.draw_servers(
                     group, random_source=shared.random
                 )
-                probes += await probing.collect(drawn)
+                probes += await probing.collect(
+                    drawn, timeout_seconds=self._report_seconds
+                )
             choice = self._admit(probes, demand)
             if choice.probe is None:
+                unreached = all(p.candidate.report is None for p in probes)
                 return dataclasses.replace(
                     choice,
                     asked=len(probes),
                     best=self._best(probes, demand),
-                    unreached=all(
-                        probe.candidate.report is None for probe in probes
-                    ),
+                    unreached=unreached,
+                    late=unreached and any(probe.late for probe in probes),
                 )
             return choice
         finally:
--- a/tests/adapter/standin.py
+++ b/tests/adapter/standin.py
@@ -257,6 +257,7 @@
         cancelled: Ids of the requests whose connection was closed during
             their execution.
         limit: Requests per second that it names in its answers, or None.
+        report_seconds: Time until it answers a health check.
         crash_prefix: Requests whose path starts with it end the server while
             it runs them; None for no requests.
         ended_at: Monotonic seconds when it crashed, or None.
@@ -274,11 +275,13 @@
         self.healthy = True
         self.cancelled = []
         self.limit = None
+        self.report_seconds = 0.0
         self.crash_prefix = None
         self.ended_at = None
 
     async def handle(self, request, sock):
         if request.target == b"/health":
+            await curio.sleep(self.report_seconds)
             return make_response(
                 200 if self.healthy else 503,
                 headers=(
