direct: check no paths while no server has failed; tests: killed receivers

The checker walked the registry for each service five times a second. It now skips services without a failure. Tests: calls at a receiver that is killed run once, and what was refused as not run never runs.

--- a/libs/direct/src/banyandale_direct/_path_checks.py
+++ b/libs/direct/src/banyandale_direct/_path_checks.py
@@ -74,6 +74,12 @@
         now = time.monotonic()
         groups = 0
         for service in current.services.values():
+            if not (
+                self._monitor.cut
+                or self._monitor.has_failures(service.name)
+                or service.name in self._impaired
+            ):
+                continue
             entries = {
                 entry.server.id: entry
                 for entry in self._servers.find(service.name, now=now)
--- a/libs/direct/src/banyandale_direct/_paths.py
+++ b/libs/direct/src/banyandale_direct/_paths.py
@@ -79,6 +79,11 @@
             reach.failed_at[server_id] = now
             reach.failing_since = min(reach.failing_since, now)
 
+    def has_failures(self, service: str) -> bool:
+        """Returns whether a server has failed since it last answered."""
+        reach = self._reach.get(service)
+        return reach is not None and bool(reach.failed_at)
+
     def list_unreached(
         self, service: str, server_ids: Collection[str], *, now: float
     ) -> list[str]:
--- a/tests/adapter/test_cut_gateways.py
+++ b/tests/adapter/test_cut_gateways.py
@@ -30,6 +30,7 @@
     Attributes:
         answers: Time of the call, status and duration by gateway; 0 stands for
             a connection without an answer.
+        refused: Names of the calls that were refused as not run.
     """
 
     def __init__(self, deployment, ips):
@@ -37,6 +38,7 @@
         self._names = itertools.count()
         self.running = True
         self.answers = {ip: [] for ip in ips}
+        self.refused = set()
 
     async def start(self, paths=("/read/", "/write/")):
         for ip in self.answers:
@@ -58,6 +60,8 @@
             status = response.status
         except http.HttpError:
             status = 0
+        if status == 503:
+            self.refused.add(name)
         self.answers[ip].append((at, status, time.monotonic() - at))
 
     def list_answers(self, ips, since, until=float("inf")):
@@ -96,8 +100,8 @@
     ]
 
 
-def check_runs(deployment):
-    """Checks that no call that must not be repeated ran twice."""
+def check_runs(deployment, callers):
+    """Checks that no call ran twice if it must not, or although refused."""
     executed = [
         name
         for server in deployment.servers
@@ -105,6 +109,7 @@
         if name.startswith("w")
     ]
     assert len(executed) == len(set(executed))
+    assert not callers.refused.intersection(executed)
 
 
 def run_cut(tmp_path, how, *, cut_count, spared=0):
@@ -130,7 +135,7 @@
         check_served(during)
         check_served(callers.list_answers(ips[cut_count:], cut_at, healed_at))
         check_served(callers.list_answers(ips, healed_at + SETTLE_SECONDS))
-        check_runs(deployment)
+        check_runs(deployment, callers)
 
     deployments.run(tmp_path, scenario, GATEWAYS)
 
@@ -162,7 +167,7 @@
         answers = callers.list_answers(ips, time.monotonic() - CUT_SECONDS / 2)
         assert {status for status, _ in answers} == {503}
         assert max(seconds for _, seconds in answers) < REFUSED_SECONDS
-        check_runs(deployment)
+        check_runs(deployment, callers)
 
     deployments.run(tmp_path, scenario, GATEWAYS)
 
@@ -183,7 +188,7 @@
         for second in range(4):
             since = started_at + 1.7 * second + SETTLE_SECONDS
             check_served(callers.list_answers(ips[:2], since, since + 0.5))
-        check_runs(deployment)
+        check_runs(deployment, callers)
 
     deployments.run(tmp_path, scenario, GATEWAYS)
 
@@ -204,13 +209,32 @@
         # A call that the frozen gateway had just taken is lost.
         since = frozen_at + SETTLE_SECONDS
         check_served(callers.list_answers(ips[:2], since))
-        check_runs(deployment)
+        check_runs(deployment, callers)
         deployment.processes[ips[2]].send_signal(signal.SIGCONT)
         await curio.sleep(0.5)
 
     deployments.run(tmp_path, scenario, GATEWAYS)
 
 
+def test_calls_at_a_receiver_that_is_killed_run_once(tmp_path):
+    """Guards against calls that run twice when a handover breaks off."""
+
+    async def scenario(deployment, *ips):
+        callers = await prepare(deployment, ips)
+        await cut(deployment, ips[:2], "silent")
+        await curio.sleep(1.0)
+        for ip in ips[2:4]:
+            deployment.processes[ip].kill()
+            await curio.sleep(0.7)
+        callers.running = False
+        await curio.sleep(2.0)
+        check_runs(deployment, callers)
+        answers = callers.list_answers(ips[:2], 0.0)
+        assert {status for status, _ in answers} <= {200, 502, 503}
+
+    deployments.run(tmp_path, scenario, GATEWAYS)
+
+
 def test_a_call_is_handed_over_once_and_counted_once(tmp_path):
     """Guards against calls that go round, and limits that count twice."""
 
