direct: take a server for alive only if it accepts connections again

Cause: evidence against a content was withdrawn when the server's entry was still there 8 s later. While the store is down no entry goes, so a crash would have been taken back and the content sent again. The gateway that decides about the content now connects once more. Tests: evidence by what became of a server (test_quarantine); the one with an entry that stays fails without the change.

--- a/libs/direct/src/banyandale_direct/_quarantine.py
+++ b/libs/direct/src/banyandale_direct/_quarantine.py
@@ -52,8 +52,9 @@
 TELL_INTERVAL_SECONDS = 0.05
 # Interval of the comparison with the registry and the store.
 SETTLE_SECONDS = 0.5
-# A server that is still registered this long after its connections broke has
-# not ended. The users' platform removes entries after 4.5 s of silence.
+# A server that is still registered and accepts connections this long after they
+# broke has not ended. The users' platform removes entries after 4.5 s of
+# silence.
 ALIVE_SECONDS = 8.0
 # Breaks that are not explained yet are kept for this long.
 UNEXPLAINED_SECONDS = 15.0
@@ -513,16 +514,11 @@
             for crash in record.crashes:
                 if crash.state is not crash_records.CrashState.ENDED:
                     continue
-                if not self._servers.is_same_process(*crash.process):
-                    state = crash_records.CrashState.CONFIRMED
-                elif now > crash.broke_at + ALIVE_SECONDS:
-                    state = crash_records.CrashState.ALIVE
-                else:
-                    continue
+                state = await self._find_state(record.fingerprint, crash, now)
                 self._crashes.settle(record.fingerprint, crash.process, state)
         for _ in range(len(self._unexplained)):
             found = self._unexplained.popleft()
-            if not self._servers.is_same_process(*found.crash.process):
+            if self._servers.find_process(*found.crash.process) is None:
                 await self._count(
                     found.fingerprint,
                     dataclasses.replace(
@@ -533,6 +529,22 @@
             elif now < found.crash.broke_at + UNEXPLAINED_SECONDS:
                 self._unexplained.append(found)
 
+    async def _find_state(
+        self, fingerprint: bytes, crash: crash_records.Crash, now: float
+    ) -> crash_records.CrashState:
+        """Returns what is known now about a server that seems to have ended."""
+        server = self._servers.find_process(*crash.process)
+        if server is None:
+            return crash_records.CrashState.CONFIRMED
+        if now <= crash.broke_at + ALIVE_SECONDS:
+            return crash.state
+        # The entry alone says little while the store is down.
+        if self._decides(fingerprint) and (
+            await self._has_ended(server) is False
+        ):
+            return crash_records.CrashState.ALIVE
+        return crash.state
+
     async def _store_records(self) -> None:
         """Writes the records for whose contents this gateway decides."""
         for fingerprint in tuple(self._to_delete):
--- a/libs/direct/src/banyandale_direct/_registry.py
+++ b/libs/direct/src/banyandale_direct/_registry.py
@@ -224,14 +224,18 @@
             and not entry.server.leaving
         )
 
-    def is_same_process(self, server_id: str, started_unix_ms: int) -> bool:
-        """Returns whether a process of a server is still registered."""
+    def find_process(
+        self, server_id: str, started_unix_ms: int
+    ) -> Server | None:
+        """Returns a server if the same process of it is still registered."""
         entry = self._entries.get(server_id)
-        return (
-            entry is not None
-            and entry.vanished_at is None
-            and entry.server.started_unix_ms == started_unix_ms
-        )
+        if (
+            entry is None
+            or entry.vanished_at is not None
+            or entry.server.started_unix_ms != started_unix_ms
+        ):
+            return None
+        return entry.server
 
     def addresses(self) -> dict[str, str]:
         """Returns the address of each known server id."""
--- /dev/null
+++ b/libs/direct/tests/test_quarantine.py
@@ -0,0 +1,174 @@
+"""Tests of the evidence about servers under which a connection broke."""
+
+import random
+
+import curio
+import pytest
+
+import banyandale_core as core
+from banyandale_direct import _crash_records as crash_records
+from banyandale_direct import _members as members
+from banyandale_direct import _protocols as protocols
+from banyandale_direct import _quarantine as quarantine
+from banyandale_direct import _registry as registry
+from banyandale_direct import _versions as versions
+import banyandale_http as http
+
+CALL = protocols.Call(
+    id="1",
+    host="h",
+    path="/",
+    remaining_seconds=1.0,
+    request=http.Request(method=b"GET", target=b"/"),
+)
+SUSPECT = crash_records.Suspicion.SUSPECT
+NONE = crash_records.Suspicion.NONE
+
+
+class Events:
+    def write_state(self, event, **_):
+        pass
+
+
+class Listener:
+    """Accepts connections while it is open.
+
+    Attributes:
+        address: Its address, also after it was closed.
+    """
+
+    async def __aenter__(self):
+        self._listener = http.open_listener("127.0.0.1:0")
+        host, port = self._listener.getsockname()
+        self.address = f"{host}:{port}"
+        return self
+
+    async def close(self):
+        await self._listener.close()
+
+    async def __aexit__(self, *_):
+        await self.close()
+
+
+class World:
+    """A gateway's quarantine with one registered server."""
+
+    def __init__(self, address):
+        self.crashes = crash_records.CrashTable()
+        self.servers = registry.Registry()
+        self.server = registry.Server(
+            id="i",
+            address=address,
+            service="s",
+            zone="a",
+            slots=2,
+            started_unix_ms=1,
+        )
+        self.put()
+        self.quarantine = quarantine.Quarantine(
+            crashes=self.crashes,
+            table=members.MemberTable(
+                own=members.Member(
+                    ip="10.0.0.1",
+                    zone="a",
+                    started_unix_ms=1,
+                    beat=0,
+                    ready=True,
+                ),
+                random_source=random.Random(1),
+            ),
+            servers=self.servers,
+            store=None,
+            documents=None,
+            peer_port=1,
+            reads_store=lambda: False,
+            events=Events(),
+            metrics=core.MemoryMetrics(),
+        )
+
+    def put(self, **fields):
+        server = registry.Server(
+            **{
+                name: getattr(self.server, name)
+                for name in ("id", "address", "service", "zone", "slots")
+            }
+            | {"started_unix_ms": 1}
+            | fields
+        )
+        self.servers.put(
+            server, version=versions.Version(0, len(fields) + 1), now=0.0
+        )
+
+    async def record_break(self, **fields):
+        await self.quarantine.record_break(
+            CALL, self.server, **{"order": 0, "answers": False} | fields
+        )
+
+    def suspicion(self):
+        return self.quarantine.suspicion(CALL)
+
+
+def run_world(scenario, *, ended):
+    async def main():
+        async with Listener() as listener:
+            if ended:
+                await listener.close()
+            await scenario(World(listener.address))
+
+    curio.run(main)
+
+
+@pytest.mark.parametrize("ended", [True, False])
+def test_only_a_server_that_has_ended_is_evidence(ended):
+    async def scenario(world):
+        await world.record_break()
+        assert world.suspicion() is (SUSPECT if ended else NONE)
+
+    run_world(scenario, ended=ended)
+
+
+def test_a_server_that_leaves_is_no_evidence():
+    async def scenario(world):
+        world.put(leaving=True)
+        await world.record_break()
+        assert world.suspicion() is NONE
+
+    run_world(scenario, ended=True)
+
+
+def test_a_call_without_an_answer_counts_once_the_server_is_gone():
+    """Guards against servers that end silently, and ones that only hang."""
+
+    async def scenario(world):
+        await world.record_break(answers=True)
+        await world.quarantine._settle()
+        assert world.suspicion() is NONE
+        world.put(started_unix_ms=2)
+        await world.quarantine._settle()
+        assert world.suspicion() is SUSPECT
+
+    run_world(scenario, ended=False)
+
+
+@pytest.mark.parametrize("ended", [True, False])
+def test_a_lost_path_is_told_from_the_end_of_a_server(ended, monkeypatch):
+    """Guards against refused connections of a cut, and a store that is down."""
+    now = core.boot_seconds()
+    clock = [now]
+    monkeypatch.setattr(core, "boot_seconds", lambda: clock[0])
+
+    async def scenario(world):
+        world.crashes.record_crash(
+            quarantine.fingerprints.compute_fingerprint(CALL),
+            crash_records.Crash(
+                server_id="i", started_unix_ms=1, broke_at=now, order=0
+            ),
+        )
+        await world.quarantine._settle()
+        assert world.suspicion() is SUSPECT
+        clock[0] = now + quarantine.ALIVE_SECONDS + 1.0
+        await world.quarantine._settle()
+        # The entry is still there in both cases.
+        assert world.suspicion() is (SUSPECT if ended else NONE)
+
+    run_world(scenario, ended=ended)
