direct: tell the end of a server from a connection by its report and its entry

Cause: a server that accepted a connection right after a break was taken for alive. A proxy, a reused address or a quick restart accepts too. Ruled out: lost messages (each gateway logged no crash at all).

Change: the check asks for the server's report. Another id there is the end of the server; no answer makes the content a suspect without counting (BROKEN); in both other cases the registry still tells (a new start counts). After a trial that broke without an explanation the decider holds the next one for 1.5 s.

--- a/libs/direct/src/banyandale_direct/_crash_records.py
+++ b/libs/direct/src/banyandale_direct/_crash_records.py
@@ -44,12 +44,18 @@
     When gateways differ, the larger value holds.
     """
 
+    # It did not answer after that, for a reason not known.
+    BROKEN = 0
     # Its address refused a connection right after that.
-    ENDED = 0
+    ENDED = 1
     # It was still registered long after that.
-    ALIVE = 1
+    ALIVE = 2
     # It has started anew, or its entry is gone.
-    CONFIRMED = 2
+    CONFIRMED = 3
+
+
+# States of servers that have ended.
+ENDED_STATES = frozenset({CrashState.ENDED, CrashState.CONFIRMED})
 
 
 class Suspicion(enum.Enum):
@@ -103,7 +109,7 @@
 
     @property
     def valid_crashes(self) -> tuple[Crash, ...]:
-        """The crashes that count."""
+        """The crashes that may count."""
         return tuple(
             crash
             for crash in self.crashes
@@ -114,17 +120,22 @@
     @property
     def count(self) -> int:
         """Number of crashes in a row."""
-        return len({crash.order for crash in self.valid_crashes})
+        return len(
+            {
+                crash.order
+                for crash in self.valid_crashes
+                if crash.state in ENDED_STATES
+            }
+        )
 
     @property
     def suspicion(self) -> Suspicion:
         """How calls with this content must be treated."""
-        count = self.count
-        if count == 0:
+        if not self.valid_crashes:
             return Suspicion.NONE
-        return (
-            Suspicion.CERTAIN if count >= CERTAIN_CRASHES else Suspicion.SUSPECT
-        )
+        if self.count >= CERTAIN_CRASHES:
+            return Suspicion.CERTAIN
+        return Suspicion.SUSPECT
 
     def describe(self) -> dict[str, object]:
         """Returns the log fields of a decision based on this record."""
@@ -156,7 +167,7 @@
     for crash in sorted(
         crashes,
         key=lambda crash: (
-            crash.state is not CrashState.ALIVE,
+            crash.state in ENDED_STATES,
             crash.broke_at,
         ),
         reverse=True,
@@ -254,7 +265,7 @@
                 record, crashes=_merge_crashes((), record.crashes)
             )
             self._evict()
-            return record.count > 0
+            return record.suspicion is not Suspicion.NONE
         answered_at = known.answered_at
         if record.answered_at > answered_at + TRANSIT_SECONDS:
             answered_at = record.answered_at
@@ -268,7 +279,10 @@
             expires_at=expires_at,
         )
         self._records[record.fingerprint] = merged
-        return merged.count != known.count
+        return (merged.count, merged.suspicion) != (
+            known.count,
+            known.suspicion,
+        )
 
     def _evict(self) -> None:
         while len(self._records) > MAX_RECORDS:
@@ -324,6 +338,8 @@
     ) -> bool:
         """Allows one send of a suspect, unless another is in progress.
 
+        A holder may extend its lease.
+
         Args:
             fingerprint: The content.
             holder: Identifies the send.
@@ -333,7 +349,7 @@
         for other, (_, ends_at) in list(self._leases.items()):
             if ends_at <= now:
                 del self._leases[other]
-        if fingerprint in self._leases:
+        if self._leases.get(fingerprint, (holder, 0.0))[0] != holder:
             return False
         self._leases[fingerprint] = holder, until
         return True
--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -95,6 +95,8 @@
             servers=self._registry,
             store=store,
             documents=adapter.documents,
+            codec=adapter.servers,
+            find_service=self._find_service,
             peer_port=peer_port,
             reads_store=self._reads_store,
             events=events,
@@ -203,6 +205,10 @@
     def _current_configuration(self) -> configuration.Configuration | None:
         return self._calls.configuration
 
+    def _find_service(self, name: str) -> configuration.Service | None:
+        current = self._calls.configuration
+        return None if current is None else current.services.get(name)
+
     async def _tell_impaired(self, groups: int) -> None:
         self._table.set_impaired(groups)
         await self._gossip.notify_zone(remote=True)
--- a/libs/direct/src/banyandale_direct/_quarantine.py
+++ b/libs/direct/src/banyandale_direct/_quarantine.py
@@ -15,6 +15,7 @@
 
 import banyandale_core as core
 from banyandale_direct import _admission as admission
+from banyandale_direct import _configuration as configuration
 from banyandale_direct import _crash_records as crash_records
 from banyandale_direct import _digests as digests
 from banyandale_direct import _fingerprints as fingerprints
@@ -44,6 +45,9 @@
 RETRY_SECONDS = 0.03
 # Number of gateways that are asked, the first reachable one decides.
 DECIDING_GATEWAYS = 2
+# After a trial that broke its connection, the next one waits this long, or
+# until the server is known to have ended.
+HOLD_SECONDS = 1.5
 # Longest lease. A trial that takes longer has not crashed its server quickly.
 MAX_LEASE_SECONDS = 10.0
 # Longest wait for the other gateways' records after a suspension.
@@ -114,6 +118,8 @@
         servers: registry.Registry,
         store: platform.ObjectStore,
         documents: protocols.StoreCodec,
+        codec: protocols.ServerCodec,
+        find_service: Callable[[str], configuration.Service | None],
         peer_port: int,
         reads_store: Callable[[], bool],
         events: core.EventLog,
@@ -127,6 +133,8 @@
             servers: The registered servers.
             store: The platform's store.
             documents: Format of the stored records.
+            codec: Format of the servers' reports.
+            find_service: Returns a service in the configuration in force.
             peer_port: TCP port at which other gateways decide.
             reads_store: Returns whether this gateway reads the store.
             events: Log of the process.
@@ -137,6 +145,8 @@
         self._servers = servers
         self._store = store
         self._documents = documents
+        self._codec = codec
+        self._find_service = find_service
         self._peer_port = peer_port
         self._reads_store = reads_store
         self._events = events
@@ -146,6 +156,8 @@
         self._unexplained: collections.deque[_Break] = collections.deque(
             maxlen=MAX_UNEXPLAINED
         )
+        # Suspects whose send broke its connection for a reason not known.
+        self._unexplained_trials: set[bytes] = set()
         # Crashes and expiry of the records in the store, by fingerprint.
         self._stored: dict[bytes, tuple[int, float]] = {}
         # Records in the store that no longer hold.
@@ -232,25 +244,28 @@
         self, fingerprint: bytes, lease_seconds: float
     ) -> Permit | None:
         self._sends += 1
-        own_ip = self._table.own.ip
-        holder = f"{own_ip}-{self._sends}"
+        holder = f"{self._table.own.ip}-{self._sends}"
         lease_seconds = min(lease_seconds, MAX_LEASE_SECONDS)
         for ip in self._list_deciders(fingerprint)[:DECIDING_GATEWAYS]:
-            if ip == own_ip:
-                granted = self._grant(fingerprint, holder, lease_seconds)
-            else:
-                granted = await self._ask_remote(
-                    ip, fingerprint, holder, lease_seconds
-                )
+            permit = Permit(fingerprint=fingerprint, holder=holder, decider=ip)
+            granted = await self._ask_decider(permit, lease_seconds)
             if granted is None:
                 continue
             self._metrics.incr(f"trials:{'granted' if granted else 'busy'}")
-            if not granted:
-                return None
-            return Permit(fingerprint=fingerprint, holder=holder, decider=ip)
+            return permit if granted else None
         self._metrics.incr("trials:nobody")
         return None
 
+    async def _ask_decider(
+        self, permit: Permit, lease_seconds: float
+    ) -> bool | None:
+        """Asks for or extends a lease; None without an answer."""
+        if permit.decider == self._table.own.ip:
+            return self._grant(permit.fingerprint, permit.holder, lease_seconds)
+        return await self._ask_remote(
+            permit.decider, permit.fingerprint, permit.holder, lease_seconds
+        )
+
     def _list_deciders(self, fingerprint: bytes) -> list[str]:
         """Returns the gateways in the order in which they decide."""
         live = [
@@ -314,6 +329,10 @@
         """Ends the send of a suspect, after its outcome was recorded."""
         if not permit.holder:
             return
+        if permit.fingerprint in self._unexplained_trials:
+            self._unexplained_trials.discard(permit.fingerprint)
+            await self._ask_decider(permit, HOLD_SECONDS)
+            return
         if permit.decider == self._table.own.ip:
             self._leases.release(permit.fingerprint, holder=permit.holder)
             return
@@ -379,21 +398,31 @@
             broke_at=now,
             order=order,
         )
-        ended = None
+        ended = False
         if not answers and not self._breaks.is_path_lost(server.id, now=now):
             ended = await self._has_ended(server)
-        if ended is None:
+        if ended is not False:
+            if ended is None:
+                crash = dataclasses.replace(
+                    crash, state=crash_records.CrashState.BROKEN
+                )
+            await self._count(fingerprint, crash, request=call.id)
+        if not ended:
+            # Its entry may still tell that it has started anew.
             self._unexplained.append(
                 _Break(fingerprint=fingerprint, crash=crash)
             )
-            return
-        if ended:
-            await self._count(fingerprint, crash, request=call.id)
-        else:
-            self._metrics.incr("crashes:server_alive")
+            if order > 0 and not answers:
+                self._unexplained_trials.add(fingerprint)
 
     async def _has_ended(self, server: registry.Server) -> bool | None:
-        """Returns whether a server has ended; None if that is not known."""
+        """Returns whether a server has ended; None if that is not known.
+
+        A connection alone does not tell: something else may accept it.
+        """
+        service = self._find_service(server.service)
+        if service is None:
+            return None
         deadline = time.monotonic() + CHECK_SECONDS
         try:
             connection = await http.ClientConnection.open(
@@ -402,15 +431,26 @@
         except http.ConnectError as error:
             refused = isinstance(error.__cause__, ConnectionRefusedError)
             return True if refused else None
-        await connection.close()
-        return False
+        try:
+            response = await connection.exchange_matching(
+                self._codec.write_probe(service),
+                matches=self._codec.is_report,
+                limit=MAX_ANSWER_BYTES,
+                deadline=deadline,
+            )
+        except http.HttpError:
+            return None
+        finally:
+            await connection.close()
+        found_id = self._codec.read_report(response).server_id
+        return found_id != server.id if found_id else None
 
     async def _count(
         self, fingerprint: bytes, crash: crash_records.Crash, *, request: str
     ) -> None:
         if not self._crashes.record_crash(fingerprint, crash):
             return
-        self._metrics.incr("crashes:counted")
+        self._metrics.incr(f"crashes:{crash.state.name.lower()}")
         record = self._crashes.find(fingerprint)
         self._events.write_state(
             "crash_counted",
@@ -512,7 +552,7 @@
         now = core.boot_seconds()
         for record in self._crashes.records():
             for crash in record.crashes:
-                if crash.state is not crash_records.CrashState.ENDED:
+                if crash.state >= crash_records.CrashState.ALIVE:
                     continue
                 state = await self._find_state(record.fingerprint, crash, now)
                 self._crashes.settle(record.fingerprint, crash.process, state)
@@ -538,6 +578,8 @@
             return crash_records.CrashState.CONFIRMED
         if now <= crash.broke_at + ALIVE_SECONDS:
             return crash.state
+        if crash.state is crash_records.CrashState.BROKEN:
+            return crash_records.CrashState.ALIVE
         # The entry alone says little while the store is down.
         if self._decides(fingerprint) and (
             await self._has_ended(server) is False
--- a/libs/direct/tests/test_quarantine.py
+++ b/libs/direct/tests/test_quarantine.py
@@ -1,13 +1,16 @@
 """Tests of the evidence about servers under which a connection broke."""
 
 import random
+import time
 
 import curio
 import pytest
 
 import banyandale_core as core
+from banyandale_direct import _configuration as configuration
 from banyandale_direct import _crash_records as crash_records
 from banyandale_direct import _members as members
+from banyandale_direct import _placement as placement
 from banyandale_direct import _protocols as protocols
 from banyandale_direct import _quarantine as quarantine
 from banyandale_direct import _registry as registry
@@ -30,20 +33,50 @@
         pass
 
 
+class Codec:
+    def write_probe(self, service):
+        return http.Request(method=b"GET", target=service.health_path.encode())
+
+    def is_report(self, head):
+        return True
+
+    def read_report(self, response):
+        server_id = response.header(b"id").decode()
+        return placement.LoadReport(healthy=True, server_id=server_id)
+
+
 class Listener:
-    """Accepts connections while it is open.
+    """A server's port, which answers while it is open.
 
     Attributes:
         address: Its address, also after it was closed.
+        server_id: Server that it answers as; None for no answer.
     """
 
     async def __aenter__(self):
+        self.server_id = "i"
         self._listener = http.open_listener("127.0.0.1:0")
         host, port = self._listener.getsockname()
         self.address = f"{host}:{port}"
+        self._task = await curio.spawn(self._accept, daemon=True)
         return self
 
+    async def _accept(self):
+        while True:
+            sock, _ = await self._listener.accept()
+            connection = http.ServerConnection(sock=sock)
+            await connection.read_request(
+                limit=1000, idle_deadline=time.monotonic() + 1.0
+            )
+            if self.server_id is not None:
+                headers = ((b"id", self.server_id.encode()),)
+                await connection.send_response(
+                    http.Response(status=200, headers=headers)
+                )
+            await connection.close()
+
     async def close(self):
+        await self._task.cancel()
         await self._listener.close()
 
     async def __aexit__(self, *_):
@@ -80,6 +113,10 @@
             servers=self.servers,
             store=None,
             documents=None,
+            codec=Codec(),
+            find_service=lambda name: configuration.Service(
+                name=name, health_path="/h", cold_calls_per_second=1.0
+            ),
             peer_port=1,
             reads_store=lambda: False,
             events=Events(),
@@ -108,9 +145,10 @@
         return self.quarantine.suspicion(CALL)
 
 
-def run_world(scenario, *, ended):
+def run_world(scenario, *, ended, server_id="i"):
     async def main():
         async with Listener() as listener:
+            listener.server_id = server_id
             if ended:
                 await listener.close()
             await scenario(World(listener.address))
@@ -127,6 +165,43 @@
     run_world(scenario, ended=ended)
 
 
+def test_another_server_at_the_address_is_evidence():
+    """Guards against an address that is given to another server at once."""
+
+    async def scenario(world):
+        await world.record_break()
+        assert world.suspicion() is SUSPECT
+
+    run_world(scenario, ended=False, server_id="j")
+
+
+def test_a_connection_without_an_answer_does_not_count():
+    """Guards against a proxy that accepts connections for an ended server."""
+
+    async def scenario(world):
+        await world.record_break()
+        record = world.crashes.records()[0]
+        assert (record.count, record.suspicion) == (0, SUSPECT)
+        world.put(started_unix_ms=2)
+        await world.quarantine._settle()
+        assert world.crashes.records()[0].count == 1
+
+    run_world(scenario, ended=False, server_id=None)
+
+
+def test_a_server_that_starts_anew_at_once_counts_by_its_entry():
+    """Guards against a restart that is faster than the check."""
+
+    async def scenario(world):
+        await world.record_break()
+        assert world.suspicion() is NONE
+        world.put(started_unix_ms=2)
+        await world.quarantine._settle()
+        assert world.suspicion() is SUSPECT
+
+    run_world(scenario, ended=False)
+
+
 def test_a_server_that_leaves_is_no_evidence():
     async def scenario(world):
         world.put(leaving=True)
--- a/tests/adapter/standin.py
+++ b/tests/adapter/standin.py
@@ -14,6 +14,8 @@
 
 OBJECTS_PATH = "/banyandale/objects/"
 PAGE_SIZE = 3
+# Start of the servers in Unix milliseconds.
+BORN_MS = 1_787_000_000_000
 # Time for which a server runs a request that makes it crash.
 CRASH_SECONDS = 0.04
 CUT_CHECK_SECONDS = 0.02
@@ -258,6 +260,7 @@
             their execution.
         limit: Requests per second that it names in its answers, or None.
         report_seconds: Time until it answers a health check.
+        born: Start of its process in Unix milliseconds.
         crash_prefix: Requests whose path starts with it end the server while
             it runs them; None for no requests.
         ended_at: Monotonic seconds when it crashed, or None.
@@ -275,6 +278,7 @@
         self.healthy = True
         self.cancelled = []
         self.limit = None
+        self.born = BORN_MS
         self.report_seconds = 0.0
         self.crash_prefix = None
         self.ended_at = None
@@ -343,7 +347,7 @@
                     "zone": zone,
                     "capacitySlots": 2,
                 },
-                "born": 1_787_000_000_000,
+                "born": self.born,
                 **fields,
             },
             "status": {"state": state, "seq": 1, "warmupLeftS": 0},
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -18,12 +18,14 @@
             `silent` forwards no data; `one_way` forwards only data from
             callers. The state `stale` blocks the connections that are open
             when it is set and forwards later ones.
+        cut_ips: Callers whose connections are blocked, and new ones closed.
     """
 
     def __init__(self):
         self.address = None
         self.delay = 0.0
         self.state = "up"
+        self.cut_ips = set()
         self._stale_tasks = set()
         self._serve_tasks = set()
         self._target = None
@@ -56,31 +58,39 @@
         self._serve_tasks.add(task)
         try:
             async with caller:
-                if self.state == "cut":
+                ip = caller.getpeername()[0]
+                if self.state == "cut" or ip in self.cut_ips:
                     return
                 target = await curio.open_connection(
                     *http.parse_address(self._target)
                 )
                 async with target, curio.TaskGroup(wait=any) as group:
-                    await group.spawn(self._copy, task, caller, target, True)
-                    await group.spawn(self._copy, task, target, caller, False)
+                    for ends in ((caller, target), (target, caller)):
+                        forward = ends[0] is caller
+                        await group.spawn(self._copy, task, *ends, forward, ip)
         except OSError:
             return
         finally:
             self._serve_tasks.discard(task)
             self._stale_tasks.discard(task)
 
-    def _is_blocked(self, task, forward):
+    def set_target(self, target):
+        """Sets where later connections lead."""
+        self._target = target
+
+    def _is_blocked(self, task, forward, ip):
+        if ip in self.cut_ips:
+            return True
         if task in self._stale_tasks or self.state == "silent":
             return True
         return self.state == "one_way" and not forward
 
-    async def _copy(self, task, source, destination, forward):
+    async def _copy(self, task, source, destination, forward, ip):
         try:
             while data := await source.recv(RECEIVE_BYTES):
                 if self.delay:
                     await curio.sleep(self.delay)
-                while self._is_blocked(task, forward):
+                while self._is_blocked(task, forward, ip):
                     await curio.sleep(POLL_SECONDS)
                 await destination.sendall(data)
         except OSError:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,7 +4,8 @@
 Each seed selects a series of overlapping faults: links to the store and to
 servers are delayed, cut, silent or one-way; gateways are killed, paused,
 stopped and reloaded; servers drop responses, shed load, drain and return; the
-configuration changes. The responses to callers are checked during the run,
+configuration changes; gateways are cut from all servers; a request crashes
+every server that runs it. The responses to callers are checked during the run,
 executed requests and gateway logs after it.
 """
 
@@ -38,6 +39,14 @@
 # Longest time from the last fault until calls are served again: the setting
 # recoverS of the requirements.
 RECOVER_SECONDS = 15.0
+CRASHING_PATH = "/read/crash"
+CRASH_INTERVAL_SECONDS = 0.4
+RESTART_SECONDS = 0.8
+# From the requirement: sends of a request that may follow the third crash, once
+# `CONTACT_SECONDS` have passed.
+CERTAIN_AFTER = 3
+CONTACT_SECONDS = 3.0
+LATE_SENDS = 3
 LINK_STATES = ("cut", "silent", "one_way", "stale", "slow")
 
 
@@ -55,6 +64,7 @@
         self.running = True
         self.faulted_gateways = []
         self.start_counts = dict.fromkeys(GATEWAYS, 1)
+        self.crashed_at = []
 
     async def start(self):
         await self.deployment.start()
@@ -66,6 +76,7 @@
             await link.start(server.address)
             server.address = link.address
             server.work_seconds = 0.05
+            server.crash_prefix = CRASHING_PATH.encode()
             await self.deployment.register(server)
         for ip in GATEWAYS:
             self.deployment.start_gateway(ip)
@@ -121,6 +132,52 @@
             assert body["body"] == (name if write else ""), name
         return connection.is_reusable
 
+    async def send_crashing(self):
+        """Sends a request that crashes servers, each time with a new id."""
+        number = 0
+        while self.running:
+            number += 1
+            name = f"crash-{number}-r"
+            self.outcomes[name] = None
+            try:
+                response = await self.deployment.send(
+                    self.random.choice(GATEWAYS), CRASHING_PATH, name=name
+                )
+                self.outcomes[name] = response.status
+            except http.HttpError:
+                pass
+            await curio.sleep(CRASH_INTERVAL_SECONDS)
+
+    async def restart_servers(self):
+        """Starts crashed servers anew, under the ids that they had."""
+        born = standin.BORN_MS
+        while self.running or any(s.ended_at for s in self.deployment.servers):
+            await curio.sleep(0.05)
+            now = time.monotonic()
+            for server, link in zip(
+                self.deployment.servers, self.server_links, strict=True
+            ):
+                ended_at = server.ended_at
+                if ended_at is None or now < ended_at + RESTART_SECONDS:
+                    continue
+                self.crashed_at.append(ended_at)
+                born += 1
+                address = server.address
+                await server.start("127.0.0.1:0")
+                link.set_target(server.address)
+                server.address = address
+                server.ended_at = None
+                server.born = born
+                await self.deployment.register(server)
+
+    async def _cut_gateway(self):
+        ip = self.random.choice(GATEWAYS)
+        for link in self.server_links:
+            link.cut_ips.add(ip)
+        await self._sleep_fault_duration()
+        for link in self.server_links:
+            link.cut_ips.discard(ip)
+
     async def inject_faults(self):
         """Starts faults at random intervals; waits until all have ended."""
         end = time.monotonic() + self.seconds
@@ -132,6 +189,7 @@
             self._inject_gateway_fault,
             self._change_configuration,
             self._drain_server,
+            self._cut_gateway,
         )
         tasks = []
         while time.monotonic() < end:
@@ -239,9 +297,16 @@
                 assert name not in runs, f"{name} ran and was refused"
         unknown = runs.keys() - self.outcomes.keys()
         assert not unknown, f"no caller sent {sorted(unknown)[:3]}"
+        crashes = sorted(self.crashed_at)
+        late = [
+            at
+            for at in crashes[CERTAIN_AFTER:]
+            if at > crashes[CERTAIN_AFTER - 1] + CONTACT_SECONDS
+        ]
+        assert len(late) <= LATE_SENDS, f"{len(crashes)} servers crashed"
         for ip in GATEWAYS:
             self._check_log(ip)
-        return counts
+        return counts | {"crashes": len(crashes)}
 
     def _check_log(self, ip):
         version = 0
@@ -300,6 +365,8 @@
                 await curio.spawn(soak.run_caller, number)
                 for number in range(CALLERS)
             ]
+            callers.append(await curio.spawn(soak.send_crashing))
+            callers.append(await curio.spawn(soak.restart_servers))
             await soak.inject_faults()
             soak.running = False
             for caller in callers:
