direct: count breaks in a row that the registry explains late; late reports again

Each break now takes the next order, three in a row hold the content until they are explained, and every trial that broke holds the next one. (2) A cancelled call released its permission in a new task; in a shutdown that ends the process with status 1. (3) A call that waits longer for reports shared the late result of a shorter wait, and one whose wait was used up by another's took that for an unreachable server.

--- a/libs/direct/src/banyandale_direct/_channels.py
+++ b/libs/direct/src/banyandale_direct/_channels.py
@@ -198,12 +198,22 @@
             ):
                 await pending.wait()
         last = self._last.get(server_id)
+        now = time.monotonic()
+        # A longer wait may get the report that a shorter one of another call
+        # did not get.
+        waits_longer = deadline - now >= REPORT_TIMEOUT_SECONDS
         if (
             last is not None
-            and time.monotonic() - last.at <= REPORT_REUSE_SECONDS
+            and now - last.at <= REPORT_REUSE_SECONDS
+            and not (last.late and waits_longer)
         ):
             self._metrics.incr("probes_shared")
             return _reuse_report(last, candidate)
+        if now >= deadline:
+            # Another call is still waiting for the report.
+            return Probe(
+                candidate=candidate, connection=None, reported_at=now, late=True
+            )
         pending = curio.Event()
         self._pending[server_id] = pending
         try:
--- a/libs/direct/src/banyandale_direct/_crash_records.py
+++ b/libs/direct/src/banyandale_direct/_crash_records.py
@@ -74,7 +74,8 @@
         server_id: The server.
         started_unix_ms: Start of the process that ended.
         broke_at: When its connection broke, in seconds of the boot clock.
-        order: Number of crashes that were known when the call was sent.
+        order: Number of earlier breaks in a row that were known when the call
+            was sent.
         state: What is known about the server.
     """
 
@@ -128,6 +129,17 @@
             }
         )
 
+    @property
+    def next_order(self) -> int:
+        """Order of a crash under a call that is sent now."""
+        orders = [crash.order for crash in self.valid_crashes]
+        return max(orders) + 1 if orders else 0
+
+    @property
+    def is_unexplained(self) -> bool:
+        """Whether so many breaks in a row must be explained before a send."""
+        return self.next_order >= CERTAIN_CRASHES
+
     @property
     def suspicion(self) -> Suspicion:
         """How calls with this content must be treated."""
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -447,11 +447,9 @@
         attempt.permit = permit
         try:
             await self._attempt_permitted(attempt)
-        except BaseException:
-            # The task may have been cancelled, and others wait for the permit.
-            await curio.spawn(quarantined.release, permit, daemon=True)
-            raise
-        await quarantined.release(attempt.permit)
+        finally:
+            # Also when cancelled: others wait for the permission.
+            await quarantined.release(attempt.permit)
 
     async def _attempt_permitted(self, attempt: _Attempt) -> None:
         tried, first = frozenset(self._tried), len(self._attempts) == 1
@@ -508,7 +506,7 @@
             await self._shared.quarantine.record_break(
                 self._call,
                 server,
-                order=attempt.permit.order,
+                permit=attempt.permit,
                 answers=overdue,
             )
 
--- a/libs/direct/src/banyandale_direct/_quarantine.py
+++ b/libs/direct/src/banyandale_direct/_quarantine.py
@@ -81,7 +81,7 @@
 
     Attributes:
         fingerprint: Content of the call; empty if nothing speaks against it.
-        order: Number of crashes known of it.
+        order: Number of breaks in a row that are known of it.
         holder: Identifies the send of a suspect; empty for others.
         decider: IP address of the gateway that gave the permission.
     """
@@ -215,12 +215,13 @@
                 return None
             permit = await self._ask(fingerprint, lease_seconds)
             if permit is not None:
-                if self._crashes.suspicion(fingerprint) is suspicion:
-                    return dataclasses.replace(
-                        permit, order=self._crashes.find(fingerprint).count
-                    )
+                # The decider's records have come with its answer.
+                record = self._crashes.find(fingerprint)
+                if record.suspicion is suspicion and not record.is_unexplained:
+                    return dataclasses.replace(permit, order=record.next_order)
                 await self.release(permit)
-                continue
+                if record.suspicion is not suspicion:
+                    continue
             if time.monotonic() + RETRY_SECONDS >= deadline:
                 return None
             await curio.sleep(RETRY_SECONDS)
@@ -375,7 +376,7 @@
         call: protocols.Call,
         server: registry.Server,
         *,
-        order: int,
+        permit: Permit,
         answers: bool,
     ) -> None:
         """Finds out whether a call ended its server.
@@ -383,7 +384,7 @@
         Args:
             call: The call.
             server: The server that was running it.
-            order: Number of crashes that were known when it was sent.
+            permit: Permission with which it was sent.
             answers: Whether the server may still answer, so that only its
                 entry tells.
         """
@@ -396,7 +397,7 @@
             server_id=server.id,
             started_unix_ms=server.started_unix_ms,
             broke_at=now,
-            order=order,
+            order=permit.order,
         )
         ended = False
         if not answers and not self._breaks.is_path_lost(server.id, now=now):
@@ -412,7 +413,7 @@
             self._unexplained.append(
                 _Break(fingerprint=fingerprint, crash=crash)
             )
-            if order > 0 and not answers:
+            if permit.holder and not answers:
                 self._unexplained_trials.add(fingerprint)
 
     async def _has_ended(self, server: registry.Server) -> bool | None:
--- a/libs/direct/tests/test_crash_records.py
+++ b/libs/direct/tests/test_crash_records.py
@@ -38,6 +38,25 @@
     assert table.suspicion(OTHER) is NONE
 
 
+def test_breaks_in_a_row_count_once_they_are_explained():
+    """Guards against servers that end while the store does not tell."""
+    table = crash_records.CrashTable()
+    broken = crash_records.CrashState.BROKEN
+    crashes = []
+    for number in range(3):
+        record = table.find(CONTENT)
+        assert record is None or not record.is_unexplained
+        order = 0 if record is None else record.next_order
+        crash = make_crash(f"i{number}", at=number, order=order, state=broken)
+        crashes.append(crash)
+        table.record_crash(CONTENT, crash)
+    assert table.find(CONTENT).is_unexplained
+    assert table.suspicion(CONTENT) is SUSPECT
+    for crash in crashes:
+        table.settle(CONTENT, crash.process, crash_records.CrashState.CONFIRMED)
+    assert table.suspicion(CONTENT) is CERTAIN
+
+
 def test_a_crash_that_several_gateways_saw_counts_once():
     table = crash_records.CrashTable()
     assert table.record_crash(CONTENT, make_crash("i", order=0))
@@ -209,7 +228,7 @@
             self.exchange(self.tables[0], gateway)
             if gateway.suspicion(CONTENT) is CERTAIN:
                 return
-            order = gateway.find(CONTENT).count
+            order = gateway.find(CONTENT).next_order
         self.crashes += 1
         self.end_server(gateway, CONTENT, order)
         if order:
--- a/libs/direct/tests/test_quarantine.py
+++ b/libs/direct/tests/test_quarantine.py
@@ -138,7 +138,9 @@
 
     async def record_break(self, **fields):
         await self.quarantine.record_break(
-            CALL, self.server, **{"order": 0, "answers": False} | fields
+            CALL,
+            self.server,
+            **{"permit": quarantine.UNSUSPECTED, "answers": False} | fields,
         )
 
     def suspicion(self):
--- a/tests/adapter/deployments.py
+++ b/tests/adapter/deployments.py
@@ -15,8 +15,9 @@
 
 ROOT = pathlib.Path(__file__).parents[2]
 GRACE_SECONDS = 6
-# Derived from the process id, so that parallel test runs do not collide.
-BASE_PORT = 20_000 + os.getpid() % 2000 * 10
+# Derived from the process id, so that parallel test runs do not collide, and
+# below the ports that the kernel gives to outgoing connections.
+BASE_PORT = 20_000 + os.getpid() % 1200 * 10
 (CALL_PORT, READY_PORT, LOOKUP_PORT, PEER_PORT, _, METRICS_PORT) = (
     BASE_PORT + offset for offset in range(6)
 )
