--- a/tests/adapter/standin.py
+++ b/tests/adapter/standin.py
@@ -19,6 +19,9 @@
 # Time for which a server runs a request that makes it crash.
 CRASH_SECONDS = 0.04
 CUT_CHECK_SECONDS = 0.02
+# Cuts that hang open connections, and cuts that end new ones.
+HANGS = frozenset({"silent", "stale"})
+ENDS_NEW = frozenset({"reset", "no_new", "stale"})
 
 
 def make_response(status, body=None, headers=()):
@@ -59,7 +62,7 @@
         connection = http.ServerConnection(sock=sock)
         task = await curio.current_task()
         ip = sock.getpeername()[0]
-        if self._cuts.get(ip) in ("reset", "no_new"):
+        if self._cuts.get(ip) in ENDS_NEW:
             await sock.close()
             return
         self._serve_tasks[task] = ip
@@ -70,10 +73,10 @@
                 )
                 if request is None:
                     return
-                while self._cuts.get(ip) == "silent":
+                while self._cuts.get(ip) in HANGS:
                     await curio.sleep(CUT_CHECK_SECONDS)
                 response = await self.handle(request, sock)
-                if self._cuts.get(ip) == "silent":
+                if self._cuts.get(ip) in HANGS:
                     return
                 if response is None:
                     return
@@ -97,7 +100,8 @@
         Args:
             ip: Address of the caller.
             how: `silent` hangs all connections, `reset` ends open and new
-                ones, `no_new` only new ones; None ends the cut.
+                ones, `no_new` only new ones, `stale` hangs open and ends new
+                ones; None ends the cut.
         """
         self._cuts[ip] = how
         if how == "reset":
--- a/tests/adapter/test_cut_gateways.py
+++ b/tests/adapter/test_cut_gateways.py
@@ -140,7 +140,7 @@
     deployments.run(tmp_path, scenario, GATEWAYS)
 
 
-@pytest.mark.parametrize("how", ["silent", "reset", "no_new"])
+@pytest.mark.parametrize("how", ["silent", "reset", "no_new", "stale"])
 def test_calls_at_gateways_that_reach_no_server_are_served(tmp_path, how):
     """Guards against a lost path that is taken for the loss of all servers."""
     run_cut(tmp_path, how, cut_count=2)
