core: end a process with status 0 though tasks start others meanwhile

Cause: curio.run lists the tasks, cancels them one after the other and fails if any other exists then; a listener or a round that runs in between may start one. Change: run_tasks cancels until none is left.

--- a/libs/app/src/banyandale/_gateway_command.py
+++ b/libs/app/src/banyandale/_gateway_command.py
@@ -3,10 +3,10 @@
 import logging as standard_logging
 
 from absl import logging
-import curio
 
 from banyandale import _commands as commands
 from banyandale import _settings as settings
+import banyandale_core as core
 import banyandale_gateway as gateway
 
 
@@ -43,4 +43,4 @@
         # Curio logs a warning for each operation that completes after its
         # timeout.
         standard_logging.getLogger("curio").setLevel(standard_logging.ERROR)
-        return curio.run(gateway.run_gateway, to_gateway_settings(loaded))
+        return core.run_tasks(gateway.run_gateway, to_gateway_settings(loaded))
--- a/libs/core/src/banyandale_core/__init__.py
+++ b/libs/core/src/banyandale_core/__init__.py
@@ -11,6 +11,7 @@
 from banyandale_core._events import EventLog
 from banyandale_core._events import EventLogHandler
 from banyandale_core._garbage_collection import tune_garbage_collector
+from banyandale_core._kernels import run_tasks
 from banyandale_core._metrics import MemoryMetrics
 from banyandale_core._metrics import Metrics
 from banyandale_core._metrics import StatsdMetrics
@@ -35,6 +36,7 @@
     "boot_seconds",
     "deadline_from_unix_ms",
     "deadline_to_unix_ms",
+    "run_tasks",
     "timeout_at",
     "tune_garbage_collector",
     "wait_for_signal",
--- a/libs/direct/src/banyandale_direct/_handovers.py
+++ b/libs/direct/src/banyandale_direct/_handovers.py
@@ -30,11 +30,13 @@
 TERMS_HEADER = b"banyandale-handover"
 REFUSAL_HEADER = b"banyandale-refusal"
 RUN_HEADER = b"banyandale-run"
-# Gateways that are asked for their load at once, and how often.
+# Gateways that are asked for their load at once, and the timeout: one or two
+# round trips of at most 8 ms.
 ASKED_GATEWAYS = 2
-ASK_ROUNDS = 2
-# Timeout of a request for the load: one or two round trips of at most 8 ms.
 LOAD_SECONDS = 0.06
+# The same when none of them has answered: they may be busy, or gone.
+ASKED_AGAIN = 4
+LATE_LOAD_SECONDS = 0.25
 # Extra time for the second answer after the first one.
 EXTRA_SECONDS = 0.004
 MAX_LOAD_BYTES = 4096
@@ -224,27 +226,33 @@
         self, receivers: Sequence[members.Member], *, service: str
     ) -> Receiver | None:
         """Returns the less loaded of two gateways that reach a service."""
-        left = list(receivers)
-        self._random.shuffle(left)
-        for _ in range(ASK_ROUNDS):
-            asked, left = left[:ASKED_GATEWAYS], left[ASKED_GATEWAYS:]
-            answers = await self._ask_all([m.ip for m in asked], service)
+        ips = [member.ip for member in receivers]
+        self._random.shuffle(ips)
+        for count, timeout_seconds in (
+            (ASKED_GATEWAYS, LOAD_SECONDS),
+            (ASKED_AGAIN, LATE_LOAD_SECONDS),
+        ):
+            answers = await self._ask_all(
+                ips[:count], service, timeout_seconds=timeout_seconds
+            )
             if answers:
                 return min(answers, key=lambda answer: answer.open_calls)
         self._metrics.incr("handovers:no_receiver")
         return None
 
-    async def _ask_all(self, ips: list[str], service: str) -> list[Receiver]:
+    async def _ask_all(
+        self, ips: list[str], service: str, *, timeout_seconds: float
+    ) -> list[Receiver]:
         """Returns the answers that came at nearly the same time."""
         arrived: curio.Queue = curio.Queue()
 
         async def ask(ip: str) -> None:
-            await arrived.put(await self._ask(ip, service))
+            await arrived.put(await self._ask(ip, service, deadline))
 
+        deadline = until = time.monotonic() + timeout_seconds
         for ip in ips:
             await curio.spawn(ask, ip, daemon=True)
         answers: list[Receiver] = []
-        until = time.monotonic() + LOAD_SECONDS
         for _ in ips:
             try:
                 async with core.timeout_at(until):
@@ -256,10 +264,11 @@
                 until = min(until, time.monotonic() + EXTRA_SECONDS)
         return answers
 
-    async def _ask(self, ip: str, service: str) -> Receiver | None:
+    async def _ask(
+        self, ip: str, service: str, deadline: float
+    ) -> Receiver | None:
         """Asks a gateway for its load; None if it cannot take a call."""
         pool = self.pool(f"{ip}:{self._peer_port}")
-        deadline = time.monotonic() + LOAD_SECONDS
         try:
             connection = await pool.acquire(deadline=deadline, verified=True)
         except http.ConnectError:
--- a/libs/direct/src/banyandale_direct/_selection.py
+++ b/libs/direct/src/banyandale_direct/_selection.py
@@ -123,7 +123,7 @@
                     )
                 ):
                     # Servers that accept connections are there.
-                    self._report_seconds = min(2 * self._report_seconds, left)
+                    self._report_seconds = left
                     continue
                 if choice.probe is not None or not (first and choice.may_wait):
                     return choice
