--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -9,9 +9,11 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import sys
+import tempfile
 import time
 from urllib import parse
 
@@ -677,9 +679,6 @@
 
 def run_case(main, folder):
     """Runs a case; exits with 1 for a broken rule, 0 if it held, else 2."""
-    import shutil
-    import tempfile
-
     record = Record(folder)
     temporary = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
 
@@ -688,7 +687,7 @@
 
     try:
         broken = asyncio.run(run())
-    except (Blocked, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # Only a broken rule may end with status 1.
         record.write("could_not_run", error=repr(error))
         print(f"could not run: {error!r}")
         sys.exit(2)
