--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -16,6 +17,7 @@
 sys.path.insert(0, str(FOLDER.parent / "common"))
 import standins  # noqa: E402
 
+DISRUPTED = os.environ.get("TROUBLE", "1") != "0"
 LONG_WORK_S = 1.9
 USUAL_WORK_S = 0.29
 # Requests are judged from 3 s after SIGTERM until requesters leave.
@@ -77,7 +79,7 @@
     known_at = time.monotonic()
     keep_s = 3 * min(found["ttlS"], 5)
     record.write("resolved", ttl=found["ttlS"], kept=keep_s)
-    if standins.disrupted():
+    if DISRUPTED:
         gateways.send_signal(ip, signal.SIGTERM)
     stopped_at = time.monotonic()
     late = []
@@ -97,7 +99,7 @@
         await asyncio.sleep(0.08)
     results = await asyncio.gather(*late)
     code = None
-    if standins.disrupted():
+    if DISRUPTED:
         code = await asyncio.wait_for(gateways.processes[ip].wait(), 5)
     record.write(
         "gateway_ended",
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import random
 import sys
@@ -15,6 +16,7 @@
 sys.path.insert(0, str(FOLDER.parent / "common"))
 import standins  # noqa: E402
 
+DISRUPTED = os.environ.get("TROUBLE", "1") != "0"
 CRASHING_PATH = "/sync/crash"
 UPSTREAMS = 12
 CRASH_S = 0.04
@@ -104,7 +106,7 @@
             self.fleet.crashed.append(time.monotonic())
             self._record.write("crashed", upstream=self.name)
             asyncio.create_task(self.fleet.replace(self))
-            if not standins.disrupted():
+            if not DISRUPTED:
                 await self.stop()
         await asyncio.sleep(3600)
 
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -29,11 +29,6 @@
 STATUS_TEXT = {200: "OK", 400: "Bad Request", 404: "Not Found"}
 
 
-def disrupted():
-    """Returns whether the case runs with its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 class Record:
     """Writes `record.txt`: one line per thing sent, answered or run."""
 
