direct: log why a stopping gateway takes a call, and each call that it cuts

Now 'accepted_in_stop' and 'rejected_in_stop' hold the inputs of the decision, and 'cut' is written for each open call. No decision changes.

--- a/libs/direct/src/banyandale_direct/_calls.py
+++ b/libs/direct/src/banyandale_direct/_calls.py
@@ -179,7 +179,7 @@
                 status=NO_ROUTE_STATUS,
                 refusal=admission.Refusal.NO_ROUTE,
             )
-        if not self._accepts(route):
+        if not self._accepts(call, route):
             return forwarding.refuse_not_run(
                 admission.Refusal.STOPPING, STOPPING_RETRY_AFTER_SECONDS
             )
@@ -211,13 +211,26 @@
             refusal=admission.Refusal.MALFORMED,
         )
 
-    def _accepts(self, route: configuration.Route) -> bool:
-        if self.stop is None:
+    def _accepts(
+        self, call: protocols.Call, route: configuration.Route
+    ) -> bool:
+        stop = self.stop
+        if stop is None:
             return True
-        return self.stop.accepts_call(
-            now=time.monotonic(),
-            estimate_seconds=self._shared.demands.find(route).work_seconds,
+        now = time.monotonic()
+        estimate = self._shared.demands.find(route).work_seconds
+        accepted = stop.accepts_call(now=now, estimate_seconds=estimate)
+        self._shared.events.write(
+            "accepted_in_stop" if accepted else "rejected_in_stop",
+            request=call.id,
+            route=route.name,
+            stopping_seconds=round(now - stop.signalled_at, 3),
+            exit_seconds=round(stop.exit_at - now, 3),
+            estimate_seconds=round(estimate, 3),
+            route_seconds=route.wait_seconds,
+            caller_seconds=call.remaining_seconds,
         )
+        return accepted
 
     def write_answer(
         self,
@@ -244,6 +257,21 @@
             response, refusal=refusal, not_run=final.status in NOT_RUN_STATUSES
         )
 
+    def log_cut(
+        self, read: _ReadCall, exchange: forwarding.Exchange | None
+    ) -> None:
+        """Logs and counts a call that ends without an answer to its caller."""
+        self._shared.metrics.incr("calls_cut")
+        self._shared.events.write_state(
+            "cut",
+            request=read.call.id,
+            host=read.call.host,
+            path=read.call.path,
+            seconds=round(time.monotonic() - read.arrived_at, 4),
+            handed_over=read.terms is not None,
+            attempts=exchange.attempts if exchange else [],
+        )
+
     def log_answer(
         self,
         read: _ReadCall,
@@ -414,6 +442,10 @@
                 read.call.id, final, handed_over=self._handed_over
             )
             await self._send(slot, response)
+        except curio.CancelledError:
+            if not self._connection.caller_left:
+                self._server.log_cut(read, exchange)
+            raise
         finally:
             self._server.open_calls -= 1
             if exchange is not None:
--- a/libs/direct/src/banyandale_direct/_stops.py
+++ b/libs/direct/src/banyandale_direct/_stops.py
@@ -16,6 +16,7 @@
     """Deadlines of a shutdown, in monotonic seconds."""
 
     def __init__(self, *, signalled_at: float, grace_seconds: float) -> None:
+        self.signalled_at = signalled_at
         self.serve_until = signalled_at + grace_seconds * SERVING_FRACTION
         self.exit_at = signalled_at + grace_seconds - EXIT_MARGIN_SECONDS
 
--- a/tests/adapter/deployments.py
+++ b/tests/adapter/deployments.py
@@ -129,9 +129,17 @@
             return None
 
     async def send(
-        self, ip, target, *, port=CALL_PORT, method="GET", body=b"", name="id"
+        self,
+        ip,
+        target,
+        *,
+        port=CALL_PORT,
+        method="GET",
+        body=b"",
+        name="id",
+        deadline_ms=2500,
     ):
-        deadline = time.monotonic() + 5
+        deadline = time.monotonic() + 2 * deadline_ms / 1000
         connection = await http.ClientConnection.open(
             address=f"{ip}:{port}", deadline=deadline
         )
@@ -141,7 +149,7 @@
             headers=(
                 (b"host", b"h.example"),
                 (b"x-request-id", name.encode()),
-                (b"x-deadline-ms", b"2500"),
+                (b"x-deadline-ms", str(deadline_ms).encode()),
             ),
             body=body,
         )
