tests: calls accepted late in a planned stop are cut

Callers saw no answer to calls that a stopping gateway had accepted 3 to 4.5 s after SIGTERM and passed on to a server: the process exits 5.65 s after it with calls in flight. `StopPlan.accepts_call` compares twice the average work with the exit, though a call may last until its own deadline, and it is asked when a call is read, not when it is placed after a wait for a slot.

--- a/tests/adapter/deployments.py
+++ b/tests/adapter/deployments.py
@@ -63,9 +63,9 @@
         self.servers = [standin.ServerStandin(f"i-{n}") for n in range(3)]
         self.processes = {}
 
-    async def start(self):
+    async def start(self, rules=RULES):
         await self.store.start("127.0.0.1:0")
-        await self.configure(1)
+        await self.configure(1, rules)
         for server in self.servers:
             await server.start("127.0.0.1:0")
             await self.register(server)
@@ -85,8 +85,8 @@
         document = standin.make_configuration(version, rules, **limits)
         await self.store.put("config", "main", document)
 
-    async def register(self, server, **fields):
-        entry = server.make_entry("s", **fields)
+    async def register(self, server, service="s", **fields):
+        entry = server.make_entry(service, **fields)
         await self.store.put("servers", server.id, entry)
 
     def start_gateway(self, ip):
@@ -170,7 +170,7 @@
         await self.store.stop()
 
 
-def run(tmp_path, scenario, gateways=("127.0.7.1",)):
+def run(tmp_path, scenario, gateways=("127.0.7.1",), rules=RULES):
     # The stand-ins run in this process, next to the objects of all earlier
     # tests: pauses of its garbage collector would be servers that hang.
     gc.collect()
@@ -178,7 +178,7 @@
 
     async def main():
         deployment = Deployment(tmp_path)
-        await deployment.start()
+        await deployment.start(rules)
         try:
             for ip in gateways:
                 deployment.start_gateway(ip)
--- a/tests/adapter/standin.py
+++ b/tests/adapter/standin.py
@@ -254,6 +254,8 @@
         executed_ids: Ids of the executed requests, in order.
         executed_headers: Headers of these requests.
         work_seconds: Duration of a request.
+        find_work: Returns the duration of a request; `work_seconds` unless
+            replaced.
         override_response: Called with each request before it is executed. A
             response that it returns is sent instead, and False closes the
             connection. With None, the request is executed.
@@ -276,6 +278,7 @@
         self.executed_ids = []
         self.executed_headers = []
         self.work_seconds = 0.0
+        self.find_work = lambda request: self.work_seconds
         self.override_response = lambda request: None
         self.load = "0,0,2,100"
         self.cold_ms = 0
@@ -319,7 +322,7 @@
                 self.ended_at = time.monotonic()
                 await self.crash()
             return None
-        until = time.monotonic() + self.work_seconds
+        until = time.monotonic() + self.find_work(request)
         while time.monotonic() < until:
             if http.peek(sock) == b"":
                 self.cancelled.append(request_id.decode())
