--- a/tests/adapter/callers.py
+++ b/tests/adapter/callers.py
@@ -15,6 +15,7 @@
 CROSSING_SECONDS = 0.2
 # Longest wait for an answer, beyond every deadline of a call.
 ANSWER_SECONDS = 8.0
+WRITER_POLL_SECONDS = 0.001
 NOT_RUN_STATUS = 503
 
 
@@ -92,35 +93,52 @@
         return cls(sock)
 
     async def exchange(self, name, target, **fields):
-        """Sends one call and reads its answer; None if it was not sent."""
-        calls = await self.exchange_all([(name, target, fields)])
-        return calls[0] if calls else None
-
-    async def exchange_all(self, requests):
-        """Sends calls at once; reads answers until all came or the end."""
-        data = b"".join(
-            encode(name, target, **fields) for name, target, fields in requests
-        )
-        calls = [
-            Call(name=name, sent_at=time.monotonic()) for name, _, _ in requests
-        ]
-        try:
-            await self._sock.sendall(data)
-        except OSError:
-            # The gateway had closed it; it did not get the calls whole.
-            self.ended = True
-            return []
-        sent_at = time.monotonic()
-        self.calls += calls
+        """Sends one call and reads its answer."""
+        return await self.exchange_all([(name, target, fields)])
+
+    async def exchange_all(self, requests, *, gap_seconds=0.0):
+        """Sends calls, at once if without a gap, and reads their answers.
+
+        Returns:
+            The calls that were sent whole, in order.
+        """
+        sent = []
+        writer = await curio.spawn(self._write, requests, gap_seconds, sent)
         closes = False
-        for call in calls:
-            call.sent_at = sent_at
+        for number in range(len(requests)):
+            while len(sent) <= number and not writer.terminated:
+                await curio.sleep(WRITER_POLL_SECONDS)
+            if len(sent) <= number:
+                break
+            call = sent[number]
             call.closes = closes
             if not self.ended:
                 await self._read(call)
             call.ended_at = time.monotonic()
             closes = call.closes
-        return calls
+        await writer.join()
+        return sent
+
+    async def _write(self, requests, gap_seconds, sent):
+        encoded = [
+            (name, encode(name, target, **fields))
+            for name, target, fields in requests
+        ]
+        try:
+            if not gap_seconds:
+                await self._sock.sendall(b"".join(data for _, data in encoded))
+                now = time.monotonic()
+                sent += [Call(name=name, sent_at=now) for name, _ in encoded]
+                return
+            for name, data in encoded:
+                if self.ended:
+                    return
+                await self._sock.sendall(data)
+                sent.append(Call(name=name, sent_at=time.monotonic()))
+                await curio.sleep(gap_seconds)
+        except OSError:
+            # The gateway has closed the connection.
+            self.ended = True
 
     async def close(self):
         self.ended = True
@@ -165,11 +183,11 @@
 
 
 async def send_one(ip, name, target, **fields):
-    """Sends a call on a new connection; None if the gateway is gone."""
+    """Sends a call on a new connection; [] if the gateway is gone."""
     try:
         connection = await Connection.open(ip)
     except (OSError, curio.TaskTimeout):
-        return None
+        return []
     try:
         return await connection.exchange(name, target, **fields)
     finally:
--- a/tests/adapter/test_planned_stops.py
+++ b/tests/adapter/test_planned_stops.py
@@ -5,12 +5,14 @@
 with 503 must not run.
 """
 
+import random
 import signal
 import time
 
 import callers
 import curio
 import deployments
+import pytest
 
 # Longest time for which callers use an address after a stop: three times the
 # validity of a lookup's answer.
@@ -19,6 +21,8 @@
 # end, may be cut.
 FIRST_LATE_CALL_SECONDS = 3.0
 STEP_SECONDS = 0.1
+EXIT_STEP_SECONDS = 0.004
+SEEDS = (1,)
 RULES = [
     ("/order/", "non_idempotent", "s", {"timeoutS": 3.0}),
     ("/short/", "non_idempotent", "s", {"timeoutS": 1.5}),
@@ -43,7 +47,7 @@
 
     async def run(path, number):
         name = f"{path}-{ip}-before-{number}"
-        call = await callers.send_one(ip, name, f"/{path}/{work}")
+        (call,) = await callers.send_one(ip, name, f"/{path}/{work}")
         assert call.status == 200
 
     async with curio.TaskGroup() as group:
@@ -65,15 +69,13 @@
         self.calls = []
 
     async def add(self, seconds, send, *args, **fields):
-        """Lets `send` run at a moment; it returns its call, or None."""
+        """Lets `send` run at a moment; it returns the calls that it sent."""
         await self._group.spawn(self._run, seconds, send, args, fields)
 
     async def _run(self, seconds, send, args, fields):
         delay = self._stopped_at + seconds - time.monotonic()
         await curio.sleep(max(delay, 0.0))
-        call = await send(*args, **fields)
-        if call is not None:
-            self.calls.append(call)
+        self.calls += await send(*args, **fields)
 
     async def finish(self):
         await self._group.join()
@@ -90,10 +92,15 @@
     )
 
 
-async def wait_end(process):
-    """Waits until a stopped process has ended by itself."""
-    await curio.run_in_thread(process.wait, deployments.GRACE_SECONDS)
+async def stop(deployment, ip, stopped_at):
+    """Stops a gateway; it has to end by itself before it would be killed."""
+    process = deployment.processes[ip]
+    await curio.sleep(stopped_at - time.monotonic())
+    process.send_signal(signal.SIGTERM)
+    await curio.run_in_thread(process.wait, 2 * deployments.GRACE_SECONDS)
+    seconds = time.monotonic() - stopped_at
     assert process.returncode == 0
+    assert seconds < deployments.GRACE_SECONDS
 
 
 def test_calls_that_outlast_a_stop_are_refused_or_answered(tmp_path):
@@ -103,9 +110,8 @@
         for server in deployment.servers:
             server.find_work = find_work
         await warm_up(ip, "order", "short", "check")
-        process = deployment.processes[ip]
-        process.send_signal(signal.SIGTERM)
         schedule = Schedule(stopped_at := time.monotonic())
+        stopping = await curio.spawn(stop, deployment, ip, stopped_at)
         for seconds in spread(FIRST_LATE_CALL_SECONDS, LAST_CALL_SECONDS):
             for path, work in (
                 ("order", 1.9),
@@ -120,7 +126,7 @@
                 )
         await schedule.finish()
         assert find_faults(deployment, schedule.calls, stopped_at) == []
-        await wait_end(process)
+        await stopping.join()
 
     deployments.run(tmp_path, scenario, rules=RULES)
 
@@ -132,9 +138,8 @@
         for server in deployment.servers:
             server.find_work = find_work
         await warm_up(ip, "queue")
-        process = deployment.processes[ip]
-        process.send_signal(signal.SIGTERM)
         schedule = Schedule(stopped_at := time.monotonic())
+        stopping = await curio.spawn(stop, deployment, ip, stopped_at)
         for seconds in spread(FIRST_LATE_CALL_SECONDS + 0.1, 4.4):
             for work in (1.2, 1.0, USUAL_WORK_SECONDS):
                 name = f"queue-{work}-{seconds:.2f}"
@@ -150,6 +155,93 @@
                 server.load = "0,0,2,100"
         await schedule.finish()
         assert find_faults(deployment, schedule.calls, stopped_at) == []
-        await wait_end(process)
+        await stopping.join()
+
+    deployments.run(tmp_path, scenario, rules=RULES)
+
+
+async def open_connections(ip, count):
+    return [await callers.Connection.open(ip) for _ in range(count)]
+
+
+async def add_calls_around(schedule, ip, first, last, *, label, work):
+    """Adds calls on kept and on new connections every few milliseconds."""
+    moments = spread(first, last, EXIT_STEP_SECONDS)
+    kept = await open_connections(ip, len(moments))
+    for number, (seconds, connection) in enumerate(
+        zip(moments, kept, strict=True)
+    ):
+        path = "order" if number % 2 else "check"
+        target = f"/{path}/{work}"
+        name = f"{path}-{label}-{number}"
+        await schedule.add(seconds, connection.exchange, f"{name}-kept", target)
+        await schedule.add(seconds, callers.send_one, ip, f"{name}-new", target)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_calls_right_before_the_exit_are_refused_or_answered(tmp_path, seed):
+    """Guards against calls that are read while the process ends."""
+
+    async def scenario(deployment, *ips):
+        shift = random.Random(seed).uniform(0.0, EXIT_STEP_SECONDS)
+        idle, held, busy = ips
+        for server in deployment.servers:
+            server.find_work = find_work
+        for ip in ips:
+            await warm_up(ip, "order", "check", work=0.05)
+        schedule = Schedule(stopped_at := time.monotonic() + 0.3)
+        await add_calls_around(
+            schedule, idle, 4.4 + shift, 4.8, label="idle", work=0.0
+        )
+        await add_calls_around(
+            schedule, busy, 4.3 + shift, 4.8, label="busy", work=0.06
+        )
+        # Keeps the process until it has to end.
+        await schedule.add(
+            2.9, callers.send_one, held, "check-held", "/check/5.0"
+        )
+        await add_calls_around(
+            schedule, held, 5.55 + shift, 5.9, label="held", work=0.0
+        )
+        stopping = curio.TaskGroup()
+        for ip in ips:
+            await stopping.spawn(stop, deployment, ip, stopped_at)
+        await schedule.finish()
+        calls = [call for call in schedule.calls if call.name != "check-held"]
+        assert find_faults(deployment, calls, stopped_at) == []
+        await stopping.join()
+
+    deployments.run(
+        tmp_path,
+        scenario,
+        gateways=("127.0.7.1", "127.0.7.2", "127.0.7.3"),
+        rules=RULES,
+    )
+
+
+def test_callers_that_keep_answered_connections_do_not_delay_the_exit(tmp_path):
+    """Guards against a stop that lasts until the process is killed.
+
+    The calls are read before SIGTERM and answered after it, and their callers
+    leave it to the gateway to close the connections.
+    """
+
+    async def scenario(deployment, ip):
+        for server in deployment.servers:
+            server.find_work = find_work
+        await warm_up(ip, "order")
+        schedule = Schedule(stopped_at := time.monotonic() + 0.3)
+        connections = await open_connections(ip, 4)
+        for number, connection in enumerate(connections):
+            await schedule.add(
+                -0.2, connection.exchange, f"order-{number}", "/order/0.5"
+            )
+        stopping = await curio.spawn(stop, deployment, ip, stopped_at)
+        await schedule.finish()
+        assert [call.status for call in schedule.calls] == [200] * 4
+        assert all(call.closes for call in schedule.calls)
+        await stopping.join()
+        for connection in connections:
+            await connection.close()
 
     deployments.run(tmp_path, scenario, rules=RULES)
