--- a/tests/adapter/test_planned_stops.py
+++ b/tests/adapter/test_planned_stops.py
@@ -245,3 +245,53 @@
             await connection.close()
 
     deployments.run(tmp_path, scenario, rules=RULES)
+
+
+# Calls that are written at once: their paths and work.
+PIPELINES = (
+    (("order", 0.4),) * 4,
+    (("check", 0.5), ("check", 0.5), ("order", 0.4), ("check", 0.3)),
+    (("order", 0.0), ("check", 0.0), ("order", 0.0), ("check", 0.0)),
+    (("check", 0.3),) * 6,
+)
+PIPELINE_MOMENTS = (
+    *(-0.3, -0.05, -0.01, 0.0, 0.002, 0.01, 0.5),
+    *(3.1, 3.6, 3.9, 4.1, 4.2, 4.3),
+    *(4.4, 4.44, 4.46, 4.48, 4.49, 4.495, 4.5, 4.505, 4.51, 4.52, 4.54),
+)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_pipelined_calls_of_a_stop_are_answered_or_not_run(tmp_path, seed):
+    """Guards against calls that run behind the last answer of a connection."""
+
+    async def scenario(deployment, ip):
+        random_source = random.Random(seed)
+        for server in deployment.servers:
+            server.find_work = find_work
+        await warm_up(ip, "order", "check")
+        schedule = Schedule(stopped_at := time.monotonic() + 0.5)
+        for moment in PIPELINE_MOMENTS:
+            for number, pipeline in enumerate(PIPELINES):
+                for gap_seconds in (0.0, random_source.uniform(0.001, 0.2)):
+                    (connection,) = await open_connections(ip, 1)
+                    requests = [
+                        (
+                            f"{path}-{moment}-{number}-{gap_seconds:.3f}-{n}",
+                            f"/{path}/{work}",
+                            {},
+                        )
+                        for n, (path, work) in enumerate(pipeline)
+                    ]
+                    await schedule.add(
+                        moment + random_source.uniform(0.0, EXIT_STEP_SECONDS),
+                        connection.exchange_all,
+                        requests,
+                        gap_seconds=gap_seconds,
+                    )
+        stopping = await curio.spawn(stop, deployment, ip, stopped_at)
+        await schedule.finish()
+        assert find_faults(deployment, schedule.calls, stopped_at) == []
+        await stopping.join()
+
+    deployments.run(tmp_path, scenario, rules=RULES)
