tests: signals and unreadable settings around calls

Callers lose calls when a deeply nested settings file comes with SIGHUP: `Gateway._reload` catches ValueError only, and tomllib raises RecursionError, which ends the main task.

Pass: further SIGTERM, SIGINT and SIGHUP before and during a stop; a missing, empty, incomplete or otherwise invalid file; SIGTERM 0 to 0.4 s after the start of the process.

--- a/tests/adapter/test_planned_stops.py
+++ b/tests/adapter/test_planned_stops.py
@@ -295,3 +295,160 @@
         await stopping.join()
 
     deployments.run(tmp_path, scenario, rules=RULES)
+
+
+# Signals by the seconds after SIGTERM at which they are sent.
+SIGNAL_SERIES = (
+    [(0.0, signal.SIGTERM), (0.0, signal.SIGTERM), (1.0, signal.SIGTERM)],
+    [(-0.001, signal.SIGHUP), (0.0, signal.SIGINT), (0.001, signal.SIGHUP)],
+    [
+        (seconds, number)
+        for seconds in spread(-0.05, 4.4, 0.05)
+        for number in (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
+    ],
+)
+
+
+def test_further_signals_do_not_shorten_a_stop(tmp_path):
+    """Guards against a second signal that ends the process at once."""
+
+    async def scenario(deployment, *ips):
+        for server in deployment.servers:
+            server.find_work = find_work
+        for ip in ips:
+            await warm_up(ip, "order", "check")
+        schedule = Schedule(stopped_at := time.monotonic() + 0.5)
+        stopping = curio.TaskGroup()
+        for ip, series in zip(ips, SIGNAL_SERIES, strict=True):
+            for seconds in spread(-0.3, 4.0):
+                for path, work in (("order", 0.29), ("check", 0.88)):
+                    await schedule.add(
+                        seconds,
+                        callers.send_one,
+                        ip,
+                        f"{path}-{ip}-{seconds:.2f}",
+                        f"/{path}/{work}",
+                    )
+            process = deployment.processes[ip]
+            for seconds, number in series:
+                await schedule.add(seconds, send_signal, process, number)
+            await stopping.spawn(stop, deployment, ip, stopped_at)
+        await schedule.finish()
+        assert find_faults(deployment, schedule.calls, stopped_at) == []
+        await stopping.join()
+        for ip in ips:
+            (logged,) = deployment.read_events(ip, "stop")
+            (ended,) = deployment.read_events(ip, "end")
+            assert ended["time"] - logged["time"] > LAST_CALL_SECONDS - 0.1
+
+    deployments.run(
+        tmp_path,
+        scenario,
+        gateways=("127.0.7.1", "127.0.7.2", "127.0.7.3"),
+        rules=RULES,
+    )
+
+
+async def send_signal(process, number):
+    process.send_signal(number)
+    return []
+
+
+# Contents of a settings file; None for no file.
+UNREADABLE_SETTINGS = (
+    None,
+    b"",
+    b"node = ",
+    b"\xff\xfe\x00",
+    b"a = 1\n" + b"b" * 1_000_000,
+    b"a = " + b"9" * 100_000,
+    b"a = 1979-99-99",
+)
+NESTED_SETTINGS = (b"a = " + b"[" * 100_000, b"a = " + b"{a=" * 100_000)
+LONG_KEY_SETTINGS = (b"a" + b".a" * 10_000 + b" = 1",)
+
+
+@pytest.mark.parametrize(
+    "contents",
+    [UNREADABLE_SETTINGS, NESTED_SETTINGS, LONG_KEY_SETTINGS],
+    ids=["unreadable", "nested", "long-key"],
+)
+def test_a_reload_of_unreadable_settings_cuts_no_call(tmp_path, contents):
+    """Guards against a settings file that ends or holds up the process."""
+
+    async def scenario(deployment, *ips):
+        for server in deployment.servers:
+            server.find_work = find_work
+        schedule = Schedule(reloaded_at := time.monotonic() + 0.3)
+        for ip, content in zip(ips, contents, strict=True):
+            for seconds in (-0.1, 0.1, 0.3):
+                name = f"short-{ip}-{seconds}"
+                await schedule.add(
+                    seconds, callers.send_one, ip, name, "/short/0.5"
+                )
+            process = deployment.processes[ip]
+            await schedule.add(0.0, send_signal, process, signal.SIGHUP)
+            replace_settings(tmp_path / f"{ip}.toml", content)
+        await schedule.finish()
+        assert find_faults(deployment, schedule.calls, reloaded_at) == []
+        assert [call.status for call in schedule.calls] == [200] * len(
+            schedule.calls
+        )
+        assert len(schedule.calls) == 3 * len(ips)
+        for ip in ips:
+            assert deployment.processes[ip].poll() is None
+            outcomes = deployment.read_events(ip, "reload")
+            assert {event["outcome"] for event in outcomes} == {"rejected"}
+
+    deployments.run(
+        tmp_path,
+        scenario,
+        gateways=[f"127.0.7.{n}" for n in range(1, len(contents) + 1)],
+        rules=RULES,
+    )
+
+
+def replace_settings(path, content):
+    path.unlink()
+    if content is not None:
+        path.write_bytes(content)
+
+
+def test_a_stop_right_after_the_start_ends_the_process(tmp_path):
+    """Guards against a process that is stopped before it is ready."""
+
+    async def scenario(deployment, _):
+        schedule = Schedule(started_at := time.monotonic() + 0.1)
+        stopping = curio.TaskGroup()
+        ips = [f"127.0.8.{n}" for n in range(1, 7)]
+        for n, ip in enumerate(ips):
+            deployment.start_gateway(ip)
+            seconds = 0.08 * n
+            await stopping.spawn(
+                stop_early, deployment, ip, started_at + seconds
+            )
+            for moment in spread(0.0, 4.5, 0.05):
+                await schedule.add(
+                    moment,
+                    callers.send_one,
+                    ip,
+                    f"order-{ip}-{moment:.2f}",
+                    "/order/0.1",
+                )
+        await schedule.finish()
+        assert find_faults(deployment, schedule.calls, started_at) == []
+        await stopping.join()
+
+    deployments.run(tmp_path, scenario, rules=RULES)
+
+
+async def stop_early(deployment, ip, stopped_at):
+    process = deployment.processes[ip]
+    await curio.sleep(stopped_at - time.monotonic())
+    started = bool(deployment.read_events(ip, "start"))
+    process.send_signal(signal.SIGTERM)
+    await curio.run_in_thread(process.wait, 2 * deployments.GRACE_SECONDS)
+    assert time.monotonic() - stopped_at < deployments.GRACE_SECONDS
+    # Before the program runs, the system ends the process.
+    expected = {0} if started else {0, -signal.SIGTERM}
+    assert process.returncode in expected
