tests: callers of a rolling stop lose slow calls

Two of four gateways are stopped at once and a third 1.5 s later, under callers that use a looked-up address for three times its validity.

--- a/tests/adapter/test_planned_stops.py
+++ b/tests/adapter/test_planned_stops.py
@@ -5,6 +5,7 @@
 with 503 must not run.
 """
 
+import json
 import random
 import signal
 import time
@@ -14,6 +15,8 @@
 import deployments
 import pytest
 
+import banyandale_http as http
+
 # Longest time for which callers use an address after a stop: three times the
 # validity of a lookup's answer.
 LAST_CALL_SECONDS = 4.5
@@ -31,6 +34,14 @@
 ]
 USUAL_WORK_SECONDS = 0.29
 WARM_UP_CALLS = 6
+# Load of callers that look gateways up: parts of calls that must not be
+# repeated, that are slow, and after which the caller opens a new connection.
+LOOKUP_CALLERS = 40
+WRITE_SHARE = 0.5
+SLOW_SHARE = 0.08
+NEW_CONNECTION_SHARE = 0.5
+# Callers keep an answer for up to this multiple of its validity.
+KEPT_FACTOR = 3
 
 
 def is_write(name):
@@ -452,3 +463,108 @@
     # Before the program runs, the system ends the process.
     expected = {0} if started else {0, -signal.SIGTERM}
     assert process.returncode in expected
+
+
+class LookupCaller:
+    """A caller that uses what it looked up as long as callers may.
+
+    Attributes:
+        calls: The calls that it sent.
+    """
+
+    def __init__(self, name, ips, random_source):
+        self._name = name
+        self._ips = ips
+        self._random = random_source
+        self._addresses = []
+        self._lookup_at = 0.0
+        self.calls = []
+
+    async def run(self, deployment, until):
+        connection = None
+        count = 0
+        while time.monotonic() < until:
+            if connection is None or connection.ended:
+                connection = await self._connect(deployment)
+                continue
+            path = "order" if self._random.random() < WRITE_SHARE else "check"
+            name = f"{path}-{self._name}-{count}"
+            target = f"/{path}/{self._draw_work():.3f}"
+            count += 1
+            self.calls += await connection.exchange(name, target)
+            await curio.sleep(self._random.uniform(0.0, 0.2))
+            if self._random.random() < NEW_CONNECTION_SHARE:
+                await connection.close()
+        if connection is not None:
+            await connection.close()
+
+    def _draw_work(self):
+        if self._random.random() < SLOW_SHARE:
+            return self._random.uniform(0.9, 2.1)
+        return USUAL_WORK_SECONDS * self._random.lognormvariate(0.0, 0.3)
+
+    async def _connect(self, deployment):
+        if time.monotonic() >= self._lookup_at:
+            await self._look_up(deployment)
+        ip = self._random.choice(self._addresses).partition(":")[0]
+        try:
+            return await callers.Connection.open(ip)
+        except (OSError, curio.TaskTimeout):
+            await curio.sleep(0.01)
+            return None
+
+    async def _look_up(self, deployment):
+        target = "/banyandale/resolve?name=h.example&region=r&zone=a"
+        for ip in self._random.sample(self._ips, len(self._ips)):
+            try:
+                response = await deployment.send(
+                    ip, target, port=deployments.LOOKUP_PORT
+                )
+            except http.HttpError:
+                continue
+            if response.status == 200:
+                found = json.loads(response.body)
+                self._addresses = found["addresses"]
+                kept_seconds = KEPT_FACTOR * found["ttlS"]
+                self._lookup_at = time.monotonic() + kept_seconds
+                return
+        raise AssertionError("no gateway answers lookups")
+
+
+async def stop_and_restart(deployment, ip, stopped_at):
+    await stop(deployment, ip, stopped_at)
+    deployment.start_gateway(ip)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_gateways_stopped_together_cut_no_call(tmp_path, seed):
+    """Guards against calls cut by a rolling stop under load."""
+
+    async def scenario(deployment, *ips):
+        for server in deployment.servers:
+            server.find_work = find_work
+        random_source = random.Random(seed)
+        started_at = time.monotonic()
+        group = [
+            LookupCaller(number, ips, random.Random(random_source.random()))
+            for number in range(LOOKUP_CALLERS)
+        ]
+        tasks = curio.TaskGroup()
+        until = started_at + 0.3 + 1.5 + deployments.GRACE_SECONDS
+        for caller in group:
+            await tasks.spawn(caller.run, deployment, until)
+        for ip, seconds in zip(ips, (0.3, 0.3, 1.8), strict=False):
+            await tasks.spawn(
+                stop_and_restart, deployment, ip, started_at + seconds
+            )
+        await tasks.join()
+        calls = [call for caller in group for call in caller.calls]
+        assert find_faults(deployment, calls, started_at + 0.3) == []
+        assert sum(call.status == 200 for call in calls) > len(calls) / 2
+
+    deployments.run(
+        tmp_path,
+        scenario,
+        gateways=[f"127.0.7.{n}" for n in range(1, 5)],
+        rules=RULES,
+    )
