direct, http: end the connections before a stopping gateway exits

Cause: after `end` the kernel cancels the tasks one after the other, and each connection whose last response had been sent while its reader still waited lingered for a second on its own; a connection that was cancelled while its caller was watched was read by two tasks. Bytes that were unread at the end reset a connection, which drops an answer that its caller has not read.

Change: a connection is half-closed as soon as its last response is sent. A stopping gateway rejects what still comes, half-closes idle connections, and waits up to 0.15 s, at most until 0.2 s before SIGKILL, for the callers to close theirs. Cancelled connections do not linger.

--- a/libs/direct/src/banyandale_direct/_calls.py
+++ b/libs/direct/src/banyandale_direct/_calls.py
@@ -80,6 +80,8 @@
         self._rotations = shares.ShareRotations(random_source=shared.random)
         self.configuration: configuration.Configuration | None = None
         self.stop: stops.StopPlan | None = None
+        self._closed = False
+        self._conversations: set[_Conversation] = set()
         self.open_calls = 0
         self.open_connections = 0
 
@@ -114,11 +116,26 @@
             ),
         )
         self.open_connections += 1
+        self._conversations.add(conversation)
         try:
             await conversation.run()
         finally:
+            self._conversations.discard(conversation)
             self.open_connections -= 1
 
+    async def close(self, *, deadline: float) -> None:
+        """Rejects all calls from now on and ends the connections.
+
+        Returns once the callers have closed their side, or at the deadline.
+        Bytes that are unread when a socket is closed would reset the
+        connection, and its caller could lose an answer.
+        """
+        self._closed = True
+        for conversation in tuple(self._conversations):
+            await conversation.end()
+        while self._conversations and time.monotonic() < deadline:
+            await curio.sleep(stops.CHECK_SECONDS)
+
     def read_call(
         self, request: http.Request, arrived_at: float, *, handed_over: bool
     ) -> _ReadCall:
@@ -221,7 +238,7 @@
             remaining_seconds=read.call.remaining_seconds,
         )
         estimate = self._shared.demands.find(route).work_seconds
-        accepted = stop.accepts_call(
+        accepted = not self._closed and stop.accepts_call(
             now=now,
             deadline=deadline,
             estimate_seconds=estimate,
@@ -335,6 +352,7 @@
 
     async def run(self) -> None:
         """Serves the connection until it ends."""
+        completed = False
         try:
             while await self._read_next():
                 pass
@@ -342,10 +360,20 @@
                 await self._abandon()
             elif self._pipeline.newest is not None:
                 await self._finish_calls(self._pipeline.newest)
+            completed = True
         finally:
             for task in tuple(self._tasks):
                 await task.cancel()
-            await self._connection.close()
+            # The end of the process, which cancels one task after the other,
+            # must not wait for callers.
+            await self._connection.close(linger=completed)
+
+    async def end(self) -> None:
+        """Ends the connection, after the answers to calls that were read."""
+        if len(self._pipeline) == 0:
+            await self._connection.end()
+        else:
+            self._connection.close_after_response()
 
     async def _read_next(self) -> bool:
         """Reads and starts one call; returns whether another may follow."""
@@ -501,8 +529,10 @@
     async def _finish_calls(self, newest: pipelines.Slot) -> None:
         """Waits for the open calls after the last one was read."""
         watch = await curio.spawn(self._watch_caller, daemon=True)
-        await newest.answered.wait()
-        await watch.cancel()
+        try:
+            await newest.answered.wait()
+        finally:
+            await watch.cancel()
 
     async def _watch_caller(self) -> None:
         await self._connection.wait_for_caller_disconnect()
--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -39,8 +39,6 @@
 # Interval between checks of the settings file and removals of state about
 # servers that left.
 HOUSEKEEPING_SECONDS = 1.0
-# Interval at which a stopping gateway checks whether its last call has ended.
-STOP_CHECK_SECONDS = 0.05
 # Pause before a failed background task is restarted.
 RESTART_PAUSE_SECONDS = 0.2
 
@@ -414,10 +412,17 @@
             "stop", signal=number.name, open_calls=self._calls.open_calls
         )
         await self._gossip.send_round()
-        while time.monotonic() < plan.exit_at:
+        while time.monotonic() < plan.close_at:
             serving = time.monotonic() < plan.serve_until
             if not serving and self._calls.open_calls == 0:
                 break
-            await curio.sleep(STOP_CHECK_SECONDS)
-        self._events.write_state("end", open_calls=self._calls.open_calls)
+            await curio.sleep(stops.CHECK_SECONDS)
+        await self._calls.close(
+            deadline=min(time.monotonic() + stops.CLOSE_SECONDS, plan.exit_at)
+        )
+        self._events.write_state(
+            "end",
+            open_calls=self._calls.open_calls,
+            open_connections=self._calls.open_connections,
+        )
         self._events.flush()
--- a/libs/direct/src/banyandale_direct/_stops.py
+++ b/libs/direct/src/banyandale_direct/_stops.py
@@ -16,10 +16,15 @@
 # must not be repeated cannot be retried once it was cut.
 REPEATABLE_ESTIMATES = 2
 UNREPEATABLE_ESTIMATES = 4
-# Before SIGKILL: the last answer is ready; the process exits, whatever is in
-# flight.
+# Before SIGKILL: the last answer is ready; the connections are closed; the
+# process exits, whatever is in flight.
 ANSWER_MARGIN_SECONDS = 0.5
-EXIT_MARGIN_SECONDS = 0.35
+CLOSE_MARGIN_SECONDS = 0.35
+EXIT_MARGIN_SECONDS = 0.2
+# Longest wait for the callers to close their side of the connections.
+CLOSE_SECONDS = CLOSE_MARGIN_SECONDS - EXIT_MARGIN_SECONDS
+# Interval at which a stopping gateway checks for open calls and connections.
+CHECK_SECONDS = 0.02
 
 
 class StopPlan:
@@ -29,7 +34,8 @@
         signalled_at: When SIGTERM arrived.
         serve_until: Earliest exit of a process without open calls.
         answer_by: Deadline of the answers to calls accepted from now on.
-        exit_at: When the process exits, also with open calls.
+        close_at: When the connections are closed, also those of open calls.
+        exit_at: When the process exits, also with open connections.
     """
 
     def __init__(self, *, signalled_at: float, grace_seconds: float) -> None:
@@ -37,6 +43,7 @@
         self.signalled_at = signalled_at
         self.serve_until = signalled_at + grace_seconds * SERVING_FRACTION
         self.answer_by = killed_at - ANSWER_MARGIN_SECONDS
+        self.close_at = killed_at - CLOSE_MARGIN_SECONDS
         self.exit_at = killed_at - EXIT_MARGIN_SECONDS
         self._estimate_until = (
             signalled_at + grace_seconds * ESTIMATING_FRACTION
--- a/libs/direct/tests/test_stops.py
+++ b/libs/direct/tests/test_stops.py
@@ -32,7 +32,7 @@
         assert not accepts(4.0, limit=3.0, estimate=1.0, repeatable=repeatable)
         assert not accepts(5.0, limit=1.0, estimate=0.1, repeatable=repeatable)
     plan = stops.StopPlan(signalled_at=0.0, grace_seconds=GRACE)
-    assert plan.answer_by < plan.exit_at < GRACE
+    assert plan.answer_by < plan.close_at < plan.exit_at < GRACE
 
 
 def test_a_late_call_is_taken_only_if_it_cannot_outlast_the_process():
--- a/libs/http/src/banyandale_http/_server.py
+++ b/libs/http/src/banyandale_http/_server.py
@@ -312,6 +312,7 @@
             data += self._encode(h11.Data(data=response.body))
         data += self._encode_end()
         await self._send_bytes(data)
+        await self._finish_response()
 
     async def start_response(self, head: messages.ResponseHead) -> None:
         """Sends the head of a streamed response.
@@ -334,6 +335,7 @@
     async def end_response(self) -> None:
         """Ends a streamed response."""
         await self._send_bytes(self._encode_end())
+        await self._finish_response()
 
     def _encode_head(
         self, status: int, headers: list[tuple[bytes, bytes]]
@@ -357,6 +359,11 @@
             self._ended = True
         return data
 
+    async def _finish_response(self) -> None:
+        if self._ended:
+            # The reader may wait for another request until the idle deadline.
+            await self.end()
+
     async def _send_bytes(self, data: bytes) -> None:
         try:
             count = sockets.send_nonblocking(self._sock, data)
@@ -389,20 +396,37 @@
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         await self._sock.close()
 
-    async def close(self) -> None:
-        """Closes the connection; resets it if a response is incomplete."""
+    async def end(self) -> None:
+        """Ends the connection while no request is unanswered.
+
+        A request that crosses the end is read and dropped.
+        """
+        self._ended = True
+        try:
+            await self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            # The caller has reset the connection.
+            self.caller_left = True
+
+    async def close(self, *, linger: bool = True) -> None:
+        """Closes the connection; resets it if a response is incomplete.
+
+        Args:
+            linger: Whether to wait until the caller closes its side, if a
+                response has ended the connection.
+        """
         if self._is_sending:
             await self.abort()
             return
-        if self._ended and not self.caller_left:
+        if linger and self._ended and not self.caller_left:
             await self._linger()
         await self._sock.close()
 
     async def _linger(self) -> None:
         """Drops what the caller still sends until it closes its side."""
         left = LINGER_BYTES
+        await self.end()
         try:
-            await self._sock.shutdown(socket.SHUT_WR)
             async with core.timeout_at(time.monotonic() + LINGER_SECONDS):
                 while left > 0:
                     data = await self._sock.recv(RECEIVE_BYTES)
