--- a/tests/adapter/deployments.py
+++ b/tests/adapter/deployments.py
@@ -9,6 +9,7 @@
 import time
 
 import curio
+import launch
 import standin
 
 import banyandale_http as http
@@ -90,12 +91,16 @@
         entry = server.make_entry(service, **fields)
         await self.store.put("servers", server.id, entry)
 
-    def start_gateway(self, ip):
+    def start_gateway(self, ip, send_bytes=None):
+        """Starts a gateway, if given with a small buffer for its answers."""
         path = self.folder / f"{ip}.toml"
         path.write_text(
             make_settings(ip, self.store.address, self.grace_seconds)
         )
         log = (self.folder / f"{ip}.log").open("ab")
+        variables = {"BANYANDALE_NODE_FILE": str(path)}
+        if send_bytes is not None:
+            variables[launch.SEND_BYTES_VARIABLE] = str(send_bytes)
         self.processes[ip] = subprocess.Popen(
             [
                 sys.executable,
@@ -103,7 +108,7 @@
                 ip,
                 f"{METRICS_PORT}/metrics",
             ],
-            env={**os.environ, "BANYANDALE_NODE_FILE": str(path)},
+            env=os.environ | variables,
             stdout=log,
             stderr=log,
         )
@@ -179,6 +184,7 @@
     gateways=("127.0.7.1",),
     rules=RULES,
     grace_seconds=GRACE_SECONDS,
+    send_bytes=None,
 ):
     # The stand-ins run in this process, next to the objects of all earlier
     # tests: pauses of its garbage collector would be servers that hang.
@@ -190,7 +196,7 @@
         await deployment.start(rules)
         try:
             for ip in gateways:
-                deployment.start_gateway(ip)
+                deployment.start_gateway(ip, (send_bytes or {}).get(ip))
             for ip in gateways:
                 await deployment.wait_ready(ip)
             await scenario(deployment, *gateways)
