tests: bytes after a call cut its large answer around a stop (known red)

What callers see: an answer of 1 MB to a non-idempotent call ends in the middle, although a server ran the call and the gateway has counted it as answered. Only callers that go on sending while they read are hit: further pipelined requests, the rest of a request, garbage.

Cause: an answer counts as sent once it is in the send buffer. From then on `Gateway._stop` sees no open call and exits, and `ServerConnection._linger` gives up after one second or at the exit. A byte that arrives for the closed socket resets it, and the kernel drops what it has not sent.

--- a/tests/adapter/test_answers_at_exit.py
+++ b/tests/adapter/test_answers_at_exit.py
@@ -523,3 +523,16 @@
     """Guards against an exit that takes what the system still sends."""
     assert outcomes["alone"].lost == []
     assert outcomes["alone"].answered == 5
+
+
+def test_an_answer_is_whole_though_more_bytes_arrive_after_the_exit(outcomes):
+    """Guards against a reset by bytes that arrive when the process has ended.
+
+    The caller has not read the end of the answer by then.
+    """
+    assert outcomes["large"].lost == []
+
+
+def test_an_answer_is_whole_though_more_bytes_arrive_for_long(outcomes):
+    """Guards against a reset of a caller that reads longer than a linger."""
+    assert outcomes["larger"].lost == []
