tests: answers that are read slowly are cut at the exit (known red)

What callers see: an answer of 1 MB to a non-idempotent call ends in the middle, 5.7 s after SIGTERM and before the call's deadline.

Cause: `StopPlan.accepts_call` accepts calls until 4.5 s after SIGTERM by the work of the route, which does not include sending the answer. Sending may take as long as the deadline of the call (SEND_TIMEOUT_SECONDS is longer than what is left), and `Gateway._stop` leaves open calls at 5.65 s.

The answers could not have been whole at the exit; the calls could have been refused as not run.

slow-0: sent 4.308, first byte 4.314, end 5.746, status 200, body 917401, executed 4.31, closed, 1048576 bytes expected

--- a/tests/adapter/test_answers_at_exit.py
+++ b/tests/adapter/test_answers_at_exit.py
@@ -536,3 +536,8 @@
 def test_an_answer_is_whole_though_more_bytes_arrive_for_long(outcomes):
     """Guards against a reset of a caller that reads longer than a linger."""
     assert outcomes["larger"].lost == []
+
+
+def test_an_answer_that_is_read_slowly_is_not_cut_at_the_exit(outcomes):
+    """Guards against calls whose answer cannot be sent before the exit."""
+    assert outcomes["slow"].lost == []
