tests: answers that come late are cut at the exit (known red)

What callers see: a non-idempotent call that is sent 4.1 to 4.45 s after SIGTERM is passed on, its server sends the head at once and the body in pieces over 1.8 s, and the connection is closed without an answer at 5.7 s. The server sees the call cancelled. Its deadline is 2.5 s, so 0.9 s or more are left.

Cause: `StopPlan.accepts_call` compares with twice the average work of the route. A call may last until its deadline.

late-0: sent 4.239, first byte None, end 5.692, status None, body 0, executed 4.241, closed before the answer

--- a/tests/adapter/test_answers_at_exit.py
+++ b/tests/adapter/test_answers_at_exit.py
@@ -541,3 +541,15 @@
 def test_an_answer_that_is_read_slowly_is_not_cut_at_the_exit(outcomes):
     """Guards against calls whose answer cannot be sent before the exit."""
     assert outcomes["slow"].lost == []
+
+
+def test_an_answer_that_comes_late_is_not_cut_at_the_exit(outcomes):
+    """Guards against calls that are passed on and cancelled by the exit."""
+    assert outcomes["late"].lost == []
+    assert outcomes["late"].cancelled == []
+
+
+def test_calls_before_the_last_part_of_the_grace_time_are_served(outcomes):
+    """Guards against a gateway that stops serving too early."""
+    assert outcomes["before"].lost == []
+    assert outcomes["before"].served == 6
