tests: waiting calls get no answer at the exit (known red)

What callers see: a non-idempotent call that waits for a slot of a server is closed without an answer 5.7 s after SIGTERM, though it was never passed on: it could have been refused as not run at any time.

Cause: `Gateway._stop` leaves at 5.65 s whatever is open, and `Exchange` has no deadline but the caller's: neither `_attempt` nor `Selection.choose` knows that the process stops.

waiting-0: sent 4.276, first byte None, end 5.691, status None, body 0, executed None, closed before the answer

--- a/tests/adapter/test_answers_at_exit.py
+++ b/tests/adapter/test_answers_at_exit.py
@@ -553,3 +553,9 @@
     """Guards against a gateway that stops serving too early."""
     assert outcomes["before"].lost == []
     assert outcomes["before"].served == 6
+
+
+def test_a_call_that_waits_for_a_server_is_refused_before_the_exit(outcomes):
+    """Guards against waiting calls that get no answer though none ran."""
+    assert outcomes["waiting"].lost == []
+    assert outcomes["waiting"].refused == 6
