tests: calls are passed on right before the exit (known red)

What callers see: a non-idempotent call that is accepted 4.1 to 4.45 s after SIGTERM is passed on up to 5.35 s after it, long after the last time at which calls are accepted, and the connection is closed without an answer at 5.7 s.

Cause: `CallServer.decide` asks the `StopPlan` once, when the call is read. `Exchange` sends later, without asking again: after a wait for a slot (`Selection.choose`), and for a repeat (`_may_repeat`) after a server has rejected the call.

freed-0: sent 4.444, first byte None, end 5.682, status None, body 0, executed 5.045, closed before the answer repeated-0: sent 4.37, first byte None, end 5.685, status None, body 0, executed 5.282, closed before the answer

--- a/tests/adapter/test_answers_at_exit.py
+++ b/tests/adapter/test_answers_at_exit.py
@@ -559,3 +559,15 @@
     """Guards against waiting calls that get no answer though none ran."""
     assert outcomes["waiting"].lost == []
     assert outcomes["waiting"].refused == 6
+
+
+def test_a_call_that_has_waited_is_not_sent_right_before_the_exit(outcomes):
+    """Guards against decisions that are not made again when a call is sent."""
+    assert outcomes["freed"].lost == []
+    assert outcomes["freed"].cancelled == []
+
+
+def test_a_call_is_not_repeated_right_before_the_exit(outcomes):
+    """Guards against decisions that are not made again for a repeat."""
+    assert outcomes["repeated"].lost == []
+    assert outcomes["repeated"].cancelled == []
