tests: handovers while the receivers or the sender stop

A gateway that is cut from all servers hands its calls over while two of its three receivers stop, and while it stops itself together with one of them.

--- a/tests/adapter/test_answers_at_exit.py
+++ b/tests/adapter/test_answers_at_exit.py
@@ -571,3 +571,72 @@
     """Guards against decisions that are not made again for a repeat."""
     assert outcomes["repeated"].lost == []
     assert outcomes["repeated"].cancelled == []
+
+
+HANDOVER_GATEWAYS = tuple(f"127.0.7.{number}" for number in range(1, 5))
+CALL_INTERVAL_SECONDS = 0.04
+# Calls start before SIGTERM, so that the gateway notices that it is cut, and
+# are judged from shortly before it on.
+LEAD_SECONDS = 1.5
+JUDGED_FROM_SECONDS = -0.7
+
+
+def run_handovers(tmp_path, stopped, *, last_seconds):
+    """Returns the outcome of calls at a cut gateway, the first of four.
+
+    Args:
+        tmp_path: Folder of the deployment.
+        stopped: Numbers of the gateways that get SIGTERM at once.
+        last_seconds: Time of the last call after that.
+    """
+    found = []
+
+    async def scenario(deployment, *ips):
+        await prepare(deployment, ips)
+        for server in deployment.servers:
+            server.work_seconds = SHORT_WORK_SECONDS
+            await server.cut(ips[0], "silent")
+        stop_at = time.monotonic() + LEAD_SECONDS
+        callers = []
+        tasks = []
+        is_running = True
+        while time.monotonic() < stop_at + last_seconds:
+            if is_running and time.monotonic() >= stop_at:
+                is_running = False
+                for number in stopped:
+                    deployment.processes[ips[number]].send_signal(
+                        signal.SIGTERM
+                    )
+            name = f"handed-{len(tasks)}"
+            caller = Caller(name)
+            # Also calls that run when their gateway gets SIGTERM.
+            if len(tasks) % 4 == 0 and time.monotonic() < stop_at:
+                caller = Caller(name, path="/write/late")
+            if time.monotonic() >= stop_at + JUDGED_FROM_SECONDS:
+                callers.append(caller)
+            tasks.append(await curio.spawn(caller.call_anew, ips[0]))
+            await curio.sleep(CALL_INTERVAL_SECONDS)
+        for task in tasks:
+            await task.join()
+        handed_over = deployment.read_events(ips[0], "handed_over")
+        assert len(handed_over) > 10
+        found.append(judge(deployment, callers, stop_at))
+
+    deployments.run(tmp_path, scenario, HANDOVER_GATEWAYS)
+    return found[0]
+
+
+def test_calls_at_receivers_that_stop_are_served(tmp_path):
+    """Guards against calls that are handed over to a gateway that exits."""
+    outcome = run_handovers(tmp_path, (1, 2), last_seconds=4.8)
+    assert outcome.lost == []
+    assert outcome.refused == 0
+    assert outcome.served > 100
+
+
+def test_calls_are_served_while_their_gateway_and_a_receiver_stop(tmp_path):
+    """Guards against handed over calls that are cut by either gateway."""
+    outcome = run_handovers(tmp_path, (0, 1), last_seconds=4.4)
+    assert outcome.lost == []
+    assert outcome.answered > 100
+    assert outcome.served > 50
