tests: suspects that wait for permission around a stop (one known red)

What callers see: calls with a content that has ended a server, sent 3.9 to 4.2 s after SIGTERM, wait for permission until the trial before them ends. They are passed on up to 5.4 s after SIGTERM, and closed without an answer at 5.7 s.

Cause: as for calls that wait for a slot: `Quarantine.acquire` waits until the call's own deadline, and the send after it does not ask the `StopPlan` again.

--- a/tests/adapter/test_answers_at_exit.py
+++ b/tests/adapter/test_answers_at_exit.py
@@ -640,3 +640,68 @@
     assert outcome.lost == []
     assert outcome.answered > 100
     assert outcome.served > 50
+
+
+SUSPECT_GATEWAYS = ("127.0.7.1", "127.0.7.2")
+SUSPECT_PATHS = [f"/write/crash-{number}" for number in range(4)]
+
+
+def run_suspects(tmp_path):
+    """Returns the outcomes of suspect calls by gateway; the first one stops."""
+    found = {}
+
+    async def scenario(deployment, *ips):
+        await prepare(deployment, ips, known=False)
+        for number in range(4):
+            server = SlowServer(f"m-{number}", set())
+            await server.start("127.0.0.1:0")
+            deployment.servers.append(server)
+            await deployment.register(server)
+        for server in deployment.servers:
+            server.crash_prefix = b"/write/crash"
+        for path in SUSPECT_PATHS:
+            response = await deployment.send(
+                ips[0], path, method="POST", name=path, body=b"body"
+            )
+            assert response.status == 502
+            await curio.sleep(0.2)
+        for server in deployment.servers:
+            server.crash_prefix = None
+            server.work_seconds = LONG_WORK_SECONDS
+        await curio.sleep(1.0)
+        callers = {ip: [] for ip in ips}
+        for ip, first, last in zip(ips, (3.9, 3.0), (4.2, 5.2), strict=True):
+            for number in range(12):
+                at = first + (last - first) * number / 12
+                path = SUSPECT_PATHS[number % len(SUSPECT_PATHS)]
+                caller = Caller(f"{ip}-{number}", path=path)
+                await caller.connect(ip, kept=False)
+                callers[ip].append((at, caller))
+        stopped_at, _ = await call_around_stop(
+            deployment, callers, stopped=ips[:1]
+        )
+        for ip in ips:
+            found[ip] = judge(
+                deployment, [caller for _, caller in callers[ip]], stopped_at
+            )
+
+    deployments.run(tmp_path, scenario, SUSPECT_GATEWAYS)
+    return found
+
+
+@pytest.fixture(scope="module")
+def suspects(tmp_path_factory):
+    """Outcomes of suspect calls by gateway."""
+    return run_suspects(tmp_path_factory.mktemp("suspects"))
+
+
+def test_a_suspect_that_has_waited_is_not_sent_right_before_the_exit(suspects):
+    """Guards against permissions that are given too late."""
+    assert suspects[SUSPECT_GATEWAYS[0]].lost == []
+
+
+def test_suspects_are_answered_while_the_deciding_gateway_stops(suspects):
+    """Guards against waits for a gateway that has ended."""
+    outcome = suspects[SUSPECT_GATEWAYS[1]]
+    assert outcome.lost == []
+    assert outcome.answered == 12
