--- a/tests/adapter/deployments.py
+++ b/tests/adapter/deployments.py
@@ -182,6 +182,7 @@
     tmp_path,
     scenario,
     gateways=("127.0.7.1",),
+    *,
     rules=RULES,
     grace_seconds=GRACE_SECONDS,
     send_bytes=None,
