http, direct: keep a connection until its last response is delivered

Cause: an answer counted as sent once it was in the send buffer. The linger gave up after a second, or with the process; a byte that arrives for a closed socket resets it, and the kernel drops what it has not sent.

Change: the linger lasts while bytes are not acknowledged (TIOCOUTQ), up to the timeout of sending, and no longer ends after 256 KiB of dropped bytes, which would reset the connection all the same. A stopping gateway waits for such connections until 0.2 s before SIGKILL; for callers that have everything, 0.15 s.

--- a/libs/direct/src/banyandale_direct/_calls.py
+++ b/libs/direct/src/banyandale_direct/_calls.py
@@ -126,14 +126,20 @@
     async def close(self, *, deadline: float) -> None:
         """Rejects all calls from now on and ends the connections.
 
-        Returns once the callers have closed their side, or at the deadline.
-        Bytes that are unread when a socket is closed would reset the
-        connection, and its caller could lose an answer.
+        Returns once the callers have closed their side. Waits for callers that
+        do not read their answers, at most until the deadline: bytes that are
+        unread when a socket is closed would reset the connection.
         """
         self._closed = True
         for conversation in tuple(self._conversations):
             await conversation.end()
+        idle_deadline = time.monotonic() + stops.CLOSE_SECONDS
         while self._conversations and time.monotonic() < deadline:
+            if time.monotonic() >= idle_deadline and not any(
+                conversation.has_undelivered()
+                for conversation in self._conversations
+            ):
+                return
             await curio.sleep(stops.CHECK_SECONDS)
 
     def read_call(
@@ -375,6 +381,10 @@
         else:
             self._connection.close_after_response()
 
+    def has_undelivered(self) -> bool:
+        """Whether the caller has not received all answers."""
+        return self._connection.has_undelivered()
+
     async def _read_next(self) -> bool:
         """Reads and starts one call; returns whether another may follow."""
         while not self._pipeline.has_room():
--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -417,9 +417,7 @@
             if not serving and self._calls.open_calls == 0:
                 break
             await curio.sleep(stops.CHECK_SECONDS)
-        await self._calls.close(
-            deadline=min(time.monotonic() + stops.CLOSE_SECONDS, plan.exit_at)
-        )
+        await self._calls.close(deadline=plan.exit_at)
         self._events.write_state(
             "end",
             open_calls=self._calls.open_calls,
--- a/libs/direct/src/banyandale_direct/_stops.py
+++ b/libs/direct/src/banyandale_direct/_stops.py
@@ -21,7 +21,7 @@
 ANSWER_MARGIN_SECONDS = 0.5
 CLOSE_MARGIN_SECONDS = 0.35
 EXIT_MARGIN_SECONDS = 0.2
-# Longest wait for the callers to close their side of the connections.
+# Longest wait for callers that have all answers to close their side.
 CLOSE_SECONDS = CLOSE_MARGIN_SECONDS - EXIT_MARGIN_SECONDS
 # Interval at which a stopping gateway checks for open calls and connections.
 CHECK_SECONDS = 0.02
--- a/libs/http/src/banyandale_http/_server.py
+++ b/libs/http/src/banyandale_http/_server.py
@@ -27,11 +27,11 @@
 # whether a pipelined request may be told to continue.
 PIPELINE_POLL_SECONDS = 0.2
 CONTINUE_POLL_SECONDS = 0.01
-# After a response that ends the connection, requests that the caller has sent
-# in the meantime are read and dropped up to these limits. Closing a socket with
-# unread bytes resets it, and the caller may then lose the response.
+# After a response that ends the connection, what the caller still sends is
+# read and dropped for this time, and on while parts of the response are not
+# delivered, up to the timeout of sending. Closing a socket with unread bytes
+# resets the connection, and the caller then loses the rest of the response.
 LINGER_SECONDS = 1.0
-LINGER_BYTES = 256 * 1024
 
 
 class ServerConnection:
@@ -422,17 +422,31 @@
             await self._linger()
         await self._sock.close()
 
+    def has_undelivered(self) -> bool:
+        """Whether the caller has not acknowledged all that was sent."""
+        return not self.caller_left and sockets.has_undelivered(self._sock)
+
     async def _linger(self) -> None:
         """Drops what the caller still sends until it closes its side."""
-        left = LINGER_BYTES
         await self.end()
+        deadline = time.monotonic() + LINGER_SECONDS
+        last_deadline = time.monotonic() + SEND_TIMEOUT_SECONDS
         try:
-            async with core.timeout_at(time.monotonic() + LINGER_SECONDS):
-                while left > 0:
-                    data = await self._sock.recv(RECEIVE_BYTES)
-                    if not data:
-                        return
-                    left -= len(data)
-        except (OSError, curio.TaskTimeout):
-            # The caller has its response or is gone; the socket is closed next.
+            while not await self._drop_until(deadline):
+                now = time.monotonic()
+                if now >= last_deadline or not self.has_undelivered():
+                    return
+                deadline = min(now + LINGER_SECONDS, last_deadline)
+        except OSError:
+            # The caller is gone; the socket is closed next.
             return
+
+    async def _drop_until(self, deadline: float) -> bool:
+        """Drops what the caller sends; returns whether it closed its side."""
+        try:
+            async with core.timeout_at(deadline):
+                while await self._sock.recv(RECEIVE_BYTES):
+                    pass
+        except curio.TaskTimeout:
+            return False
+        return True
--- a/libs/http/src/banyandale_http/_sockets.py
+++ b/libs/http/src/banyandale_http/_sockets.py
@@ -1,6 +1,9 @@
 """TCP sockets with the options that all connections use."""
 
+import fcntl
 import socket
+import struct
+import termios
 
 import curio
 import curio.socket
@@ -117,6 +120,18 @@
         return b""
 
 
+def has_undelivered(sock: curio.io.Socket) -> bool:
+    """Whether sent bytes are not yet acknowledged by the other side.
+
+    False on systems that cannot tell.
+    """
+    try:
+        count = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return False
+    return struct.unpack("i", count)[0] > 0
+
+
 def send_nonblocking(sock: curio.io.Socket, data: bytes | memoryview) -> int:
     """Sends as much as fits into the send buffer, without blocking.
 
