http: reject heads that are joined from two responses

Callers were told "not run" for calls that a server ran, or the call ran at a second server. A server had begun to write an earlier refusal once more on a kept connection, stopped in the middle of a header's value, and then wrote the answer to the next call:

HTTP/1.1 503 Service Unavailable x-not-executed: 1 server: HTTP/1.1 200 OK x-request-id: new

This is one valid head. Its status and "not executed" are those of the earlier response, its id is that of the call, so the check of the id passes. Cut in the reason of its status line, the earlier refusal gave its status to the answer.

Evidence: tests/adapter/test_repeated_refusals.py cuts two refusals after each byte of their heads and joins the rest with the answer.

E AssertionError: assert <AnswerKind.MISDIRECTED: 'misdirected'> is <AnswerKind.INVALID: 'invalid'> E AssertionError: assert <AnswerKind.FAILED: 'failed'> is <AnswerKind.INVALID: 'invalid'>

Whole copies of 13 kinds were skipped, whenever they came (78 cases), and copies without an id or of a wrong length proved nothing; these tests passed before and stay.

A status line in a reason or in the value of a header now makes the response malformed, which says nothing of the call. The check is in the client of banyandale_http, so it holds for both gateways of the product. A header whose value names a status line on purpose is rejected as well.

--- a/libs/http/src/banyandale_http/_client.py
+++ b/libs/http/src/banyandale_http/_client.py
@@ -1,6 +1,7 @@
 """Client side of one HTTP/1.1 connection."""
 
 from collections.abc import Callable
+import re
 import time
 from typing import Self
 
@@ -20,6 +21,9 @@
 MAX_UNMATCHED_RESPONSES = 3
 # Maximum number of informational responses before the final one.
 MAX_INFORMATIONAL_RESPONSES = 16
+# Start of a response. In a reason or in the value of a header, it shows that
+# the head of a response broke off there and that another response follows.
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 # Number of events after which the other tasks run. A server that sends chunks
 # of one byte fills a buffer with thousands of events.
 EVENTS_PER_TURN = 64
@@ -273,9 +277,10 @@
         Raises:
             ResponseTimeoutError: No complete head arrived before the deadline.
             TruncatedResponseError: The connection ended.
-            MalformedResponseError: The response is not valid HTTP, or it has
-                neither a length nor chunked encoding, so that a truncated
-                body could not be detected.
+            MalformedResponseError: The response is not valid HTTP, its head
+                is joined from two responses, or it has neither a length nor
+                chunked encoding, so that a truncated body could not be
+                detected.
         """
         event = await self._next_event(deadline)
         informational = 0
@@ -294,6 +299,13 @@
                 f"{self._address}: connection ended before the response",
                 run=self._run_mark(),
             )
+        if _holds_second_head(event):
+            self._open = False
+            raise errors.MalformedResponseError(
+                f"{self._address}: the head of the response broke off before"
+                " another response",
+                run=core.RunMark.UNKNOWN,
+            )
         length = messages.find_header(event.headers, b"content-length")
         head = messages.ResponseHead(
             status=event.status_code,
@@ -437,3 +449,11 @@
         """Closes the connection, which cancels a request in flight."""
         self._open = False
         await self._sock.close()
+
+
+def _holds_second_head(response: h11.Response) -> bool:
+    """Whether a head consists of parts of two responses."""
+    return any(
+        STATUS_LINE.search(text)
+        for text in (response.reason, *(value for _, value in response.headers))
+    )
