adapter: a response that names two requests belongs to neither

A refusal of an earlier call with two `X-Request-Id` headers, of which the first is the id of the call that is being run, was taken for the answer: "not run" for a call that a server runs. Only the first of several headers was compared.

--- a/tests/adapter/test_repeated_refusals.py
+++ b/tests/adapter/test_repeated_refusals.py
@@ -49,6 +49,7 @@
     "two ids in one line": make_refusal(b"new, old"),
     "id twice": make_refusal(b"old", b"old"),
     "two ids": make_refusal(b"old", b"new"),
+    "two ids, own first": make_refusal(b"new", b"old"),
     "after 100": INTERIM % b"100 Continue" + REFUSAL,
     "after 103": INTERIM % b"103 Early Hints" + REFUSAL,
 }
--- a/tests/adapter/test_servers.py
+++ b/tests/adapter/test_servers.py
@@ -113,6 +113,22 @@
     assert not CODEC.is_report(other_response)
 
 
+@pytest.mark.parametrize("names", [(b"ab", b"cd"), (b"cd", b"ab")])
+def test_a_response_that_names_two_requests_does_not_match(names):
+    """Guards against a refusal of another request beside the id of this one."""
+    headers = tuple((b"x-request-id", name) for name in names)
+    head = http.ResponseHead(status=503, headers=headers)
+    assert not CODEC.matches_call(make_call(), head)
+
+
+def test_an_id_may_be_repeated_in_a_response():
+    """Guards against a response that is skipped although it is the own one."""
+    head = http.ResponseHead(
+        status=200, headers=((b"x-request-id", b"ab"),) * 2
+    )
+    assert CODEC.matches_call(make_call(), head)
+
+
 @pytest.mark.parametrize(
     ("load", "expected"),
     [
