http, direct: one send of a call per connection to a server

Callers were told "not run" (503) for a call that a server ran. Two entries had the same address, as when a server has started anew under another id and its old entry is still there. The first send, for the old id, was refused with 421. The second went to the server itself on the same kept connection, which wrote the 421 once more while it ran the call. The copy has the id of the call, which is the id of both sends, so it was taken for the answer to the second. The same happened to a caller that used an id again.

Cause: a response is told apart by the id of the request alone, and an id was not unique on a connection.

Change: a connection remembers the keys (ids) of its last 64 exchanges, and a call is not sent on one that has carried its id. The pool leaves such a connection for other calls and takes another idle one, so a new connection is opened only for a repeated id without one. Calls with ids of their own are not affected.

Copies with the id of another call were skipped by the gateway before, too (test_a_gateway_skips_copies_on_kept_connections, as the call arrives and 1 ms after a load report on the same connection).

The stand-in connection in libs/direct/tests/test_forwarding.py gets the new method; what it checks is unchanged.

Not covered: an id that comes again on the same connection after more than 64 other calls, and a server that refuses a call with its own id while it runs it.

--- a/libs/direct/src/banyandale_direct/_channels.py
+++ b/libs/direct/src/banyandale_direct/_channels.py
@@ -143,16 +143,25 @@
         server: registry.Server,
         service: configuration.Service,
         *,
+        key: str,
         deadline: float,
     ) -> http.ClientConnection:
         """Returns a connection that has just carried an answer.
 
+        Args:
+            server: Server to connect to.
+            service: Its service.
+            key: Key of the exchange, as for `http.Pool.acquire`.
+            deadline: Monotonic seconds.
+
         Raises:
             HttpError: There was none before the deadline. Nothing but a
                 request for a report was sent.
         """
         pool = self.pool(server.address)
-        connection = await pool.acquire(deadline=deadline, verified=True)
+        connection = await pool.acquire(
+            deadline=deadline, verified=True, key=key
+        )
         if connection.has_answered:
             return connection
         try:
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -549,6 +549,7 @@
                     time.monotonic() + handovers.CONNECT_SECONDS,
                 ),
                 verified=True,
+                key=self._call.id,
             )
         except http.ConnectError as error:
             attempt.error = error.code
@@ -648,6 +649,10 @@
         pool = self._shared.channels.pool(server.address)
         connection = probe.connection
         probe.connection = None
+        if connection is not None and connection.has_carried(self._call.id):
+            # A copy of the earlier answer could not be told apart.
+            await pool.release(connection)
+            connection = None
         if connection is None:
             try:
                 connection = await self._acquire_connection(server)
@@ -705,6 +710,7 @@
                 limit=memory.MAX_ANSWER_BYTES,
                 deadline=self._answer_by,
                 reserve=self._reserve_memory,
+                key=self._call.id,
             )
         except http.HttpError as error:
             attempt.error = error.code
@@ -726,13 +732,18 @@
         """
         if self._route.repeatable:
             pool = self._shared.channels.pool(server.address)
-            return await pool.acquire(deadline=self._answer_by, verified=True)
+            return await pool.acquire(
+                deadline=self._answer_by, verified=True, key=self._call.id
+            )
         deadline = max(
             self._started_at + channels.LATE_REPORT_SECONDS,
             time.monotonic() + channels.REPORT_TIMEOUT_SECONDS,
         )
         return await self._shared.channels.acquire_answering(
-            server, self._service, deadline=min(deadline, self._answer_by)
+            server,
+            self._service,
+            key=self._call.id,
+            deadline=min(deadline, self._answer_by),
         )
 
     def _record_path(self, server: registry.Server, *, reached: bool) -> None:
--- a/libs/direct/tests/test_forwarding.py
+++ b/libs/direct/tests/test_forwarding.py
@@ -35,6 +35,9 @@
 
     sent = False
 
+    def has_carried(self, key):
+        return False
+
     async def exchange_matching(self, request, **_):
         self.sent = True
         return http.Response(status=200)
--- a/libs/http/src/banyandale_http/_client.py
+++ b/libs/http/src/banyandale_http/_client.py
@@ -1,5 +1,6 @@
 """Client side of one HTTP/1.1 connection."""
 
+import collections
 from collections.abc import Callable
 import re
 import time
@@ -24,6 +25,8 @@
 # Start of a response. In a reason or in the value of a header, it shows that
 # the head of a response broke off there and that another response follows.
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+# Number of the last keyed requests that a connection remembers.
+RECENT_KEYS = 64
 # Number of events after which the other tasks run. A server that sends chunks
 # of one byte fills a buffer with thousands of events.
 EVENTS_PER_TURN = 64
@@ -55,6 +58,9 @@
         self._head: h11.Request | None = None
         self._allow_unframed = False
         self._event_count = 0
+        self._recent_keys: collections.deque[str] = collections.deque(
+            maxlen=RECENT_KEYS
+        )
         self.sent = False
         self.last_verified_at = time.monotonic()
         self.has_answered = False
@@ -114,6 +120,10 @@
             and sockets.peek(self._sock) is None
         )
 
+    def has_carried(self, key: str) -> bool:
+        """Whether an earlier exchange had this key, so far as remembered."""
+        return key in self._recent_keys
+
     async def send_request(
         self, request: messages.Request, *, deadline: float
     ) -> None:
@@ -171,6 +181,7 @@
         limit: int,
         deadline: float,
         reserve: Callable[[int], bool] = lambda size: True,
+        key: str = "",
     ) -> messages.Response:
         """Sends a request and reads the whole response that matches it.
 
@@ -186,10 +197,14 @@
             deadline: Monotonic seconds for the whole exchange.
             reserve: Called with the size of each received part of a body;
                 returns whether there is memory for it.
+            key: What `matches` recognizes responses by, if it is not empty. A
+                response to an earlier exchange with the same key would match.
 
         Raises:
             HttpError: As for `exchange`.
         """
+        if key:
+            self._recent_keys.append(key)
         self._allow_unframed = True
         sending = await curio.spawn(
             self.send_request(request, deadline=deadline)
--- a/libs/http/src/banyandale_http/_pool.py
+++ b/libs/http/src/banyandale_http/_pool.py
@@ -45,7 +45,7 @@
         self._in_use = 0
 
     async def acquire(
-        self, *, deadline: float, verified: bool = False
+        self, *, deadline: float, verified: bool = False, key: str = ""
     ) -> client.ClientConnection:
         """Returns an idle connection or opens a new one.
 
@@ -53,6 +53,8 @@
             deadline: Monotonic seconds by which a new connection must be open.
             verified: Whether to reuse only a connection that was verified
                 within the last second.
+            key: Key of the next exchange. Connections that have carried an
+                exchange with the same key stay in the pool.
 
         Raises:
             ConnectError: No connection could be opened.
@@ -61,8 +63,14 @@
         not_before = now - (
             VERIFIED_MAX_AGE_SECONDS if verified else MAX_IDLE_SECONDS
         )
-        while self._idle:
-            connection = self._idle.pop()
+        # Number of the newest connections that have carried the key.
+        kept = 0
+        while len(self._idle) > kept:
+            connection = self._idle[-1 - kept]
+            if connection.has_carried(key):
+                kept += 1
+                continue
+            del self._idle[-1 - kept]
             reusable = connection.is_reusable
             if reusable and connection.last_verified_at >= not_before:
                 self._in_use += 1
--- a/libs/http/tests/test_connections.py
+++ b/libs/http/tests/test_connections.py
@@ -136,3 +136,53 @@
     else:
         with pytest.raises(ConnectionResetError):
             curio.run(main)
+
+
+def test_a_key_is_not_repeated_on_a_connection():
+    """Guards against a copy of an earlier response to the same request."""
+
+    async def main():
+        accepted = []
+
+        async def serve(sock):
+            while await sock.recv(4096):
+                await sock.sendall(WHOLE)
+
+        async def accept():
+            while True:
+                sock, _ = await listener.accept()
+                accepted.append(sock)
+                await curio.spawn(serve, sock, daemon=True)
+
+        listener = http.open_listener("127.0.0.1:0")
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        await curio.spawn(accept, daemon=True)
+        pool = http.Pool(address=address, limit=3)
+        deadline = time.monotonic() + 2
+        used = []
+        for key in ("a", "a", "b", "a", "b", "b"):
+            connection = await pool.acquire(deadline=deadline, key=key)
+            assert not connection.has_carried(key)
+            await connection.exchange_matching(
+                http.Request(method=b"GET", target=b"/"),
+                matches=lambda head: True,
+                limit=1000,
+                deadline=deadline,
+                key=key,
+            )
+            await pool.release(connection)
+            used.append(connection)
+        # Connections stay in the pool for other keys.
+        assert [used.index(connection) for connection in used] == [
+            0,
+            1,
+            1,
+            3,
+            3,
+            0,
+        ]
+        assert len(accepted) == 3
+        await pool.clear()
+        await listener.close()
+
+    curio.run(main)
--- a/tests/adapter/test_repeated_refusals.py
+++ b/tests/adapter/test_repeated_refusals.py
@@ -5,6 +5,7 @@
 import time
 
 import curio
+import deployments
 import pytest
 
 import banyandale_adapter as adapter
@@ -217,3 +218,167 @@
                 head[:size], TIMES["as the call arrives"], method
             )
         )
+
+
+class CopyingServer:
+    """Refuses some calls, and copies each refusal as the next call arrives.
+
+    Attributes:
+        ran: Ids of the calls that it has run, in order.
+    """
+
+    def __init__(self, name, *, copies_after_report=False):
+        self.name = name
+        self.ran = []
+        self._copies_after_report = copies_after_report
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=100)
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            threading.Thread(
+                target=self._serve, args=(sock,), daemon=True
+            ).start()
+
+    def _serve(self, sock):
+        copy = b""
+        with sock:
+            try:
+                while request := sock.recv(65536):
+                    if request.startswith(b"GET /health"):
+                        sock.sendall(
+                            b"HTTP/1.1 200 OK\r\nx-server-load: 0,0,9,100\r\n"
+                            b"content-length: 0\r\n\r\n"
+                        )
+                        if self._copies_after_report and copy:
+                            time.sleep(0.001)
+                            sock.sendall(copy)
+                            copy = b""
+                        continue
+                    copy = self._answer(sock, request, copy)
+            except OSError:
+                return
+
+    def _answer(self, sock, request, copy):
+        """Answers a call; returns the refusal to copy."""
+        call_id = find_value(request, b"x-request-id")
+        if find_value(request, b"x-expect-instance") != self.name.encode():
+            refusal = make_refusal(call_id, status=b"421 Misdirected Request")
+        elif b"/refused" in request.partition(b"\r\n")[0]:
+            refusal = make_refusal(call_id)
+        else:
+            self.ran.append(call_id.decode())
+            sock.sendall(copy)
+            time.sleep(0.03)
+            sock.sendall(ANSWER.replace(b"new", call_id))
+            return b""
+        sock.sendall(refusal)
+        return refusal
+
+    def make_entry(self):
+        return {
+            "specification": {
+                "address": self.address,
+                "nodeInfo": {
+                    "service": "t",
+                    "version": "v1",
+                    "zone": "a",
+                    "capacitySlots": 9,
+                },
+                "born": 1_787_000_000_000,
+            },
+            "status": {"state": "ready", "seq": 1, "warmupLeftS": 0},
+        }
+
+    def close(self):
+        self._listener.close()
+
+
+def find_value(request, name):
+    return request.partition(name + b": ")[2].partition(b"\r\n")[0]
+
+
+def run_with_copies(tmp_path, scenario, **options):
+    """Runs a scenario with one server of the service of /once/."""
+
+    async def main(deployment, ip):
+        server = CopyingServer("i-t", **options)
+        try:
+            rules = [("/once/", "non_idempotent", "t", {})]
+            await deployment.configure(2, [*deployments.RULES, *rules])
+            await deployment.store.put("servers", "i-t", server.make_entry())
+            await deployments.wait_until(
+                lambda: deployment.read_events(ip, "server_entry")
+            )
+            await curio.sleep(0.2)
+            await scenario(deployment, ip, server)
+        finally:
+            server.close()
+
+    deployments.run(tmp_path, main)
+
+
+async def call_once(deployment, ip, path, name):
+    response = await deployment.send(
+        ip, f"/once/{path}", method="POST", name=name
+    )
+    return response.status
+
+
+@pytest.mark.parametrize("copies_after_report", [False, True])
+def test_a_gateway_skips_copies_on_kept_connections(
+    tmp_path, copies_after_report
+):
+    """Guards against "not run" told to the caller of a call that runs."""
+
+    async def scenario(deployment, ip, server):
+        for number in range(8):
+            status = await call_once(deployment, ip, "refused", f"r{number}")
+            assert status == 503
+            status = await call_once(deployment, ip, "x", f"n{number}")
+            assert status in (200, 502)
+            assert server.ran.count(f"n{number}") == 1
+            assert status == 200
+
+    run_with_copies(tmp_path, scenario, copies_after_report=copies_after_report)
+
+
+def test_a_repeated_id_is_not_answered_by_an_earlier_refusal(tmp_path):
+    """Guards against "not run" where the copy has the id of the call."""
+
+    async def scenario(deployment, ip, server):
+        for number in range(8):
+            name = f"n{number}"
+            assert await call_once(deployment, ip, "refused", name) == 503
+            assert await call_once(deployment, ip, "x", name) == 200
+            assert server.ran.count(name) == 1
+
+    run_with_copies(tmp_path, scenario)
+
+
+def test_two_entries_of_one_address_do_not_share_a_refusal(tmp_path):
+    """Guards against a call that runs after the copy of its first refusal."""
+
+    async def scenario(deployment, ip, server):
+        for number in range(3):
+            entry = server.make_entry()
+            await deployment.store.put("servers", f"i-gone-{number}", entry)
+        await curio.sleep(0.2)
+        for number in range(24):
+            name = f"n{number}"
+            status = await call_once(deployment, ip, "x", name)
+            runs = server.ran.count(name)
+            assert (status, runs) in [(200, 1), (503, 0)]
+        outcomes = [
+            [attempt["outcome"] for attempt in event["attempts"]]
+            for event in deployment.read_events(ip, "answered")
+        ]
+        assert ["misdirected", "served"] in outcomes
+
+    run_with_copies(tmp_path, scenario)
