direct: pass on no status that promises "not run" without a promise

Callers were told "not run, try again" for calls that a server had run: a server answered with its own 503, 429 or 408, without `x-not-executed`, and the gateway passed the status on. Callers take these statuses, and 421, for the promise that the call has not run and will not run, and repeat calls that may run only once.

Cause: the answer to the last attempt that failed was returned as it came. The meaning of the status for the caller was checked only for the gateway's own refusals.

Such an answer is now a 502 (`outcome_unknown`), which promises nothing. Other statuses of servers are passed on unchanged, as before.

Before: test_a_status_without_the_mark_promises_nothing E Differing items: {'429-write': 429} != {'429-write': 502}, {'408-write': 408} != {'408-write': 502}, ... (6 of 12 answers) After: passes.

--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -37,6 +37,8 @@
 NOT_RUN_STATUS = 503
 UNKNOWN_STATUS = 502
 TIMED_OUT_STATUS = 504
+# Statuses by which a caller is told that its call has not run and will not run.
+NOT_RUN_PROMISES = frozenset({408, 421, 429, NOT_RUN_STATUS})
 # Answers that guarantee that the server did not run the call.
 NOT_RUN_KINDS = frozenset(
     {
@@ -386,7 +388,7 @@
         for attempt in self._attempts:
             if attempt.kind is protocols.AnswerKind.FAILED:
                 failed = attempt.response
-        if failed is not None:
+        if failed is not None and failed.status not in NOT_RUN_PROMISES:
             return FinalAnswer(response=failed, status=failed.status)
         if self._may_have_run():
             return FinalAnswer(
--- a/tests/adapter/test_repeated_refusals.py
+++ b/tests/adapter/test_repeated_refusals.py
@@ -7,6 +7,7 @@
 import curio
 import deployments
 import pytest
+import standin
 
 import banyandale_adapter as adapter
 import banyandale_core as core
@@ -382,3 +383,30 @@
         assert ["misdirected", "served"] in outcomes
 
     run_with_copies(tmp_path, scenario)
+
+
+def test_a_status_without_the_mark_promises_nothing(tmp_path):
+    """Guards against "not run" in the status of a server that ran the call."""
+
+    async def scenario(deployment, ip):
+        def answer(request):
+            name = request.header(b"x-request-id")
+            return standin.make_response(
+                int(name[:3]),
+                headers=((b"x-request-id", name), (b"x-response-seal", b"s")),
+            )
+
+        for server in deployment.servers:
+            server.override_response = answer
+        statuses, expected = {}, {}
+        for status in (400, 408, 429, 500, 503, 504):
+            for path, method in (("write", "POST"), ("read", "GET")):
+                name = f"{status}-{path}"
+                response = await deployment.send(
+                    ip, f"/{path}/x", method=method, name=name
+                )
+                statuses[name] = response.status
+                expected[name] = 502 if status in (408, 429, 503) else status
+        assert statuses == expected
+
+    deployments.run(tmp_path, scenario)
