direct: no refusal proves that a call without an id was not run

A call without an `X-Request-Id` was answered 503 ("not run") after any refusal without an id that came on its connection, also after a copy of one that a server had given to an earlier call. Nothing tells the two apart.

Such a refusal now leaves open whether the call ran, and its connection is closed, since the real answer may still come. Servers refuse these calls anyway, and the callers of the platform always send an id.

--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -683,13 +683,18 @@
         attempt.kind = self._shared.codec.read_answer(self._call, response)
         attempt.response = response
         self._record_limit(server, attempt)
-        if attempt.kind is protocols.AnswerKind.INVALID:
+        refused = attempt.kind in NOT_RUN_KINDS
+        # Without an id, it may be the answer to an earlier call.
+        proven = refused and bool(self._call.id)
+        if proven:
+            attempt.run = core.RunMark.NOT_RUN
+        if attempt.kind is protocols.AnswerKind.INVALID or (
+            refused and not proven
+        ):
             # The response to this call may still arrive.
             await pool.discard(connection)
         else:
             await pool.release(connection)
-        if attempt.kind in NOT_RUN_KINDS:
-            attempt.run = core.RunMark.NOT_RUN
 
     async def _exchange(
         self,
--- a/tests/adapter/test_repeated_refusals.py
+++ b/tests/adapter/test_repeated_refusals.py
@@ -363,6 +363,18 @@
     run_with_copies(tmp_path, scenario)
 
 
+def test_a_call_without_an_id_is_not_answered_by_an_earlier_refusal(tmp_path):
+    """Guards against "not run" where nothing tells two calls apart."""
+
+    async def scenario(deployment, ip, server):
+        for number in range(1, 5):
+            assert await call_once(deployment, ip, "refused", "") == 502
+            assert await call_once(deployment, ip, "x", "") == 200
+            assert server.ran == [""] * number
+
+    run_with_copies(tmp_path, scenario)
+
+
 def test_two_entries_of_one_address_do_not_share_a_refusal(tmp_path):
     """Guards against a call that runs after the copy of its first refusal."""
 
