direct: a receiver's refusal counts only with the id of the call

The answer of another gateway to a call that was handed over was believed by its marks alone: a refusal "not run" without an id, which may be a late one of another call on a kept connection, was passed on while the call ran. No gateway writes one twice; shown with a stand-in connection only.

The answer is now classified first. One that cannot be this call's leaves open whether the call ran, and its connection is closed, as for servers.

--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -585,13 +585,17 @@
         )
         if response is None:
             return
+        kind = self._shared.codec.read_answer(self._call, response)
+        if kind is protocols.AnswerKind.INVALID:
+            # A refusal, too, may be that of another call.
+            attempt.kind = kind
+            await pool.discard(connection)
+            return
         await pool.release(connection)
         outcome = handovers.read_answer(response)
         attempt.response = outcome.response
         if outcome.refusal is None:
-            attempt.kind = self._shared.codec.read_answer(
-                self._call, outcome.response
-            )
+            attempt.kind = kind
             return
         attempt.run = outcome.run
         if outcome.refusal in handovers.NOT_TAKEN:
--- a/libs/direct/tests/test_forwarding.py
+++ b/libs/direct/tests/test_forwarding.py
@@ -5,6 +5,7 @@
 import types
 
 import curio
+import pytest
 
 import banyandale_core as core
 from banyandale_direct import _admission as admission
@@ -12,6 +13,7 @@
 from banyandale_direct import _configuration as configuration
 from banyandale_direct import _crash_records as crash_records
 from banyandale_direct import _forwarding as forwarding
+from banyandale_direct import _handovers as handovers
 from banyandale_direct import _placement as placement
 from banyandale_direct import _protocols as protocols
 from banyandale_direct import _registry as registry
@@ -123,6 +125,58 @@
     curio.run(main)
 
 
+@pytest.mark.parametrize("named", [True, False])
+def test_a_receivers_refusal_without_the_id_proves_nothing(named):
+    """Guards against a late refusal of another call that was handed over."""
+
+    class Receiver:
+        async def exchange_matching(self, request, **_):
+            return handovers.mark_answer(
+                http.Response(
+                    status=503, headers=((b"id", b"a"),) if named else ()
+                ),
+                refusal=admission.Refusal.NO_ROOM,
+                not_run=True,
+            )
+
+    class ReceiverPool(Pool):
+        discarded = released = None
+
+        async def discard(self, connection):
+            self.discarded = connection
+
+    def read_answer(call, response):
+        if response.header(b"id") is None:
+            return protocols.AnswerKind.INVALID
+        return protocols.AnswerKind.FAILED
+
+    async def main():
+        pool, connection = ReceiverPool(), Receiver()
+        exchange = make_exchange(pool)
+        exchange._shared.codec.read_answer = read_answer
+        exchange._call = dataclasses.replace(
+            exchange._call, request=http.Request(method=b"POST", target=b"/")
+        )
+        exchange._make_terms = lambda: handovers.Terms(
+            remaining_seconds=1.0, age_seconds=0.0, attempts=1, repeat=True
+        )
+        exchange._log_handed_over = lambda receiver, terms: None
+        attempt = forwarding._Attempt()
+        exchange._attempts.append(attempt)
+        receiver = handovers.Receiver(ip="127.0.0.1", open_calls=0)
+        await exchange._exchange_over(attempt, receiver, pool, connection)
+        if named:
+            assert pool.released is connection
+            assert attempt.run is core.RunMark.NOT_RUN
+            assert attempt.refusal is admission.Refusal.NO_ROOM
+        else:
+            assert pool.discarded is connection
+            assert attempt.run is core.RunMark.UNKNOWN
+            assert exchange._choose_answer().status == forwarding.UNKNOWN_STATUS
+
+    curio.run(main)
+
+
 def test_a_call_that_may_have_run_is_not_refused_as_not_run():
     """Guards against callers that repeat a deposit that was already made."""
     exchange = make_exchange(Pool())
