http: send no body in answer to HEAD requests

A caller of HEAD whose call was refused (502, 503, 504 or 404 of the gateway's own) got a closed connection instead of the refusal, also for calls behind it on the connection. The gateway logged a fault:

LocalProtocolError('Too much data for declared Content-Length')

Cause: refusals have a body, and h11 rejects body bytes in a response to HEAD.

The body is now left out; its length is still stated. Holds for both gateways.

Not changed: the length of a server's answer to HEAD is passed on as 0.

--- a/libs/http/src/banyandale_http/_server.py
+++ b/libs/http/src/banyandale_http/_server.py
@@ -67,6 +67,8 @@
         self._unanswered: collections.deque[h11.Connection] = (
             collections.deque()
         )
+        # Those of them whose method is HEAD.
+        self._head_requests: set[h11.Connection] = set()
         self._received_at = time.monotonic()
         # Whether the last request that is read ends the connection, whether no
         # request may follow the last one that was read, and whether the
@@ -211,6 +213,8 @@
         self.used_at = time.monotonic()
         if not isinstance(head, h11.Request):
             return None
+        if head.method == b"HEAD":
+            self._head_requests.add(self._http)
         chunks = []
         size = 0
         if self._http.they_are_waiting_for_100_continue:
@@ -267,6 +271,13 @@
             self._unanswered[0].our_state is h11.SEND_BODY
         )
 
+    @property
+    def _answers_head(self) -> bool:
+        """Whether the oldest unanswered request has the method HEAD."""
+        return bool(self._unanswered) and (
+            self._unanswered[0] in self._head_requests
+        )
+
     def close_after_response(self) -> None:
         """Ends the connection with the next response.
 
@@ -299,6 +310,7 @@
         """Sends a complete response to the oldest unanswered request.
 
         The response must have neither connection headers nor `content-length`.
+        Its body is left out if the request was HEAD.
 
         Raises:
             CallerGoneError: The connection failed.
@@ -308,7 +320,7 @@
             length = str(len(response.body)).encode()
             headers.append((b"content-length", length))
         data = self._encode_head(response.status, headers)
-        if response.body:
+        if response.body and not self._answers_head:
             data += self._encode(h11.Data(data=response.body))
         data += self._encode_end()
         await self._send_bytes(data)
@@ -355,6 +367,7 @@
     def _encode_end(self) -> bytes:
         data = self._encode(h11.EndOfMessage())
         answered = self._unanswered.popleft()
+        self._head_requests.discard(answered)
         if answered.our_state is not h11.DONE:
             self._ended = True
         return data
--- a/libs/http/tests/test_own_responses.py
+++ b/libs/http/tests/test_own_responses.py
@@ -235,3 +235,29 @@
         assert b"connection: close" in (await caller.recv(4096)).lower()
 
     serve_caller(use)
+
+
+def test_a_response_to_a_head_request_has_no_body():
+    """Guards against a connection that ends instead of a refusal."""
+
+    async def use(connection, caller):
+        await caller.sendall(
+            b"HEAD /a HTTP/1.1\r\nhost: h\r\n\r\n"
+            b"GET /b HTTP/1.1\r\nhost: h\r\n\r\n"
+        )
+        for target in (b"/a", b"/b"):
+            assert (await read(connection)).target == target
+        for _ in range(2):
+            await connection.send_response(
+                http.Response(status=503, body=b"busy")
+            )
+        data = await caller.recv(4096)
+        first, second = data.split(b"HTTP/1.1 ")[1:]
+        for part in (first, second):
+            assert part.startswith(b"503")
+            assert b"content-length: 4" in part
+        assert first.endswith(b"\r\n\r\n")
+        assert second.endswith(b"\r\n\r\nbusy")
+        assert connection.is_reusable
+
+    serve_caller(use)
