http: a reset seen by the sender does not end a body without length

Callers got a sealed 200 with half a body, framed as whole. The server had answered without a length while it was still being sent a long request, and then reset the connection. The error of a reset is reported once per socket. The task that sends the request got it; the task that reads the body then found the end of the stream, which is how such a body ends.

A body without a length now counts only if the whole request was sent without an error; otherwise the response is truncated, and it is unknown whether the call ran. Responses with a length or in chunks are not affected.

A server that answers without a length and closes in order before it has read the request is now taken for truncated, too.

--- a/libs/http/src/banyandale_http/_client.py
+++ b/libs/http/src/banyandale_http/_client.py
@@ -57,6 +57,8 @@
         self._method = b""
         self._head: h11.Request | None = None
         self._allow_unframed = False
+        # Whether the body of the last response ends with the connection.
+        self._ends_with_connection = False
         self._event_count = 0
         self._recent_keys: collections.deque[str] = collections.deque(
             maxlen=RECENT_KEYS
@@ -188,7 +190,8 @@
         Responses for which `matches` is false are skipped, since a server may
         send a second response to an earlier request. If the response arrives
         before the whole request is sent, the connection is not reused. The
-        body of a response without a length ends with the connection.
+        body of a response without a length ends with the connection, which
+        must have taken the whole request.
 
         Args:
             request: The request.
@@ -215,9 +218,20 @@
             await curio.sleep(0)
             if sending.terminated:
                 await sending.join()
-            return await self._read_matching(
+            response = await self._read_matching(
                 request, matches, limit, deadline, reserve
             )
+            if self._ends_with_connection and not (
+                sending.terminated and sending.exception is None
+            ):
+                # The sending task may have got the error of a reset, after
+                # which the socket reads like one that was closed in order.
+                raise errors.TruncatedResponseError(
+                    f"{self._address}: connection ended before the whole"
+                    " request was sent",
+                    run=core.RunMark.UNKNOWN,
+                )
+            return response
         except curio.TaskError as error:
             self._open = False
             if isinstance(error.__cause__, errors.HttpError):
@@ -327,7 +341,8 @@
             headers=messages.strip_connection_headers(event.headers),
             length=None if length is None else int(length),
         )
-        if self._is_unframed(event):
+        self._ends_with_connection = self._is_unframed(event)
+        if self._ends_with_connection and not self._allow_unframed:
             raise errors.MalformedResponseError(
                 f"{self._address}: response has neither Content-Length nor"
                 " Transfer-Encoding",
@@ -339,8 +354,6 @@
         names = {name for name, _ in response.headers}
         if b"content-length" in names or b"transfer-encoding" in names:
             return False
-        if self._allow_unframed:
-            return False
         bodiless = response.status_code in messages.BODILESS_STATUSES
         return not bodiless and self._method != b"HEAD"
 
--- a/libs/http/tests/test_truncated_responses.py
+++ b/libs/http/tests/test_truncated_responses.py
@@ -8,6 +8,7 @@
 import curio
 import pytest
 
+import banyandale_core as core
 import banyandale_http as http
 
 BODY = b"0123456789"
@@ -95,3 +96,56 @@
             assert await exchange(server.address) is None
 
     curio.run(main)
+
+
+class UnreadingServer(threading.Thread):
+    """Resets the connection while it is still being sent a request."""
+
+    def __init__(self, count):
+        super().__init__(daemon=True)
+        self._count = count
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+
+    def run(self):
+        with self._listener:
+            for _ in range(self._count):
+                sock, _ = self._listener.accept()
+                with sock:
+                    sock.recv(4096)
+                    sock.sendall(UNFRAMED[:-5])
+                    time.sleep(0.003)
+                    # The client goes on sending just before the reset.
+                    size = 0
+                    while size < 200_000:
+                        size += len(sock.recv(1 << 20))
+                    linger = struct.pack("ii", 1, 0)
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+def test_a_reset_that_the_sender_sees_does_not_end_a_body():
+    """Guards against half a body as a whole one for a long request."""
+
+    async def main():
+        count = 30
+        server = UnreadingServer(count)
+        server.start()
+        request = http.Request(
+            method=b"POST", target=b"/", body=b"x" * (16 << 20)
+        )
+        for _ in range(count):
+            deadline = time.monotonic() + 2
+            connection = await http.ClientConnection.open(
+                address=server.address, deadline=deadline
+            )
+            with pytest.raises(http.HttpError) as caught:
+                await connection.exchange_matching(
+                    request,
+                    matches=lambda head: head.header(b"id") == b"a",
+                    limit=1000,
+                    deadline=deadline,
+                )
+            assert caught.value.run is core.RunMark.UNKNOWN
+            await connection.close()
+
+    curio.run(main)
