direct: decide again at each send of a stop, and reject waiting calls

Callers lost calls that had been read before SIGTERM or in the first half of the grace time and waited for a server: at the exit they were cut though no server had them, and some were passed on right before it.

Cause: the stop plan was asked once, when a call was read. A call may wait for a slot, for a permission of the quarantine or for a repeat until its limit.

Change: the plan, now shared state, is asked again when a server was found (also for repeats, hedges and hand-overs). Half a second before SIGKILL, calls that no server has are rejected as not run; where an earlier send may have run, the answer is 502.

After: all 10 rejected as `stopping`, none run.

The tests of planned stops waited for their tasks with curio.TaskGroup, which hides failed assertions; they now join each task. The stand-in in libs/direct/tests/test_forwarding.py gets the new field.

--- a/libs/direct/src/banyandale_direct/_calls.py
+++ b/libs/direct/src/banyandale_direct/_calls.py
@@ -29,8 +29,6 @@
 # Retry delay of callers while the gateway has no configuration yet; a start
 # takes about as long.
 UNCONFIGURED_RETRY_AFTER_SECONDS = 0.3
-# Callers rejected by a stopping gateway can retry elsewhere immediately.
-STOPPING_RETRY_AFTER_SECONDS = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,7 +62,6 @@
 
     Attributes:
         configuration: The current configuration, or None before the first.
-        stop: Plan of the shutdown in progress, or None.
         open_calls: Number of calls being served.
         open_connections: Number of callers' connections.
     """
@@ -79,7 +76,6 @@
         self._codec = codec
         self._rotations = shares.ShareRotations(random_source=shared.random)
         self.configuration: configuration.Configuration | None = None
-        self.stop: stops.StopPlan | None = None
         self._closed = False
         self._conversations: set[_Conversation] = set()
         self.open_calls = 0
@@ -123,6 +119,11 @@
             self._conversations.discard(conversation)
             self.open_connections -= 1
 
+    async def reject_waiting(self) -> None:
+        """Rejects the calls that are at no server, because the process ends."""
+        for conversation in tuple(self._conversations):
+            await conversation.reject_waiting()
+
     async def close(self, *, deadline: float) -> None:
         """Rejects all calls from now on and ends the connections.
 
@@ -203,9 +204,7 @@
                 refusal=admission.Refusal.NO_ROUTE,
             )
         if not self._accepts(read, route):
-            return forwarding.refuse_not_run(
-                admission.Refusal.STOPPING, STOPPING_RETRY_AFTER_SECONDS
-            )
+            return forwarding.refuse_stopping()
         age = 0.0
         if read.terms is not None:
             age = read.terms.age_seconds
@@ -235,7 +234,7 @@
         )
 
     def _accepts(self, read: _ReadCall, route: configuration.Route) -> bool:
-        stop = self.stop
+        stop = self._shared.stop
         if stop is None:
             return True
         now = time.monotonic()
@@ -381,6 +380,11 @@
         else:
             self._connection.close_after_response()
 
+    async def reject_waiting(self) -> None:
+        """Rejects the calls that are at no server."""
+        for exchange in tuple(self._exchanges):
+            await exchange.stop_waiting()
+
     def has_undelivered(self) -> bool:
         """Whether the caller has not received all answers."""
         return self._connection.has_undelivered()
@@ -415,7 +419,7 @@
         )
         self._server.open_calls += 1
         await self._spawn(self._serve_call, slot, read)
-        if self._server.stop is not None:
+        if self._shared.stop is not None:
             self._connection.close_after_response()
         return self._connection.is_reusable
 
@@ -532,7 +536,7 @@
         await slot.wait_for_turn()
         if self._broken:
             return
-        if self._server.stop is not None:
+        if self._shared.stop is not None:
             self._connection.close_after_response()
         await self._connection.send_response(response)
 
--- a/libs/direct/src/banyandale_direct/_context.py
+++ b/libs/direct/src/banyandale_direct/_context.py
@@ -18,11 +18,16 @@
 from banyandale_direct import _senders as senders
 from banyandale_direct import _server_health as server_health
 from banyandale_direct import _settings as settings
+from banyandale_direct import _stops as stops
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Shared:
-    """State shared by all calls of a gateway."""
+    """State shared by all calls of a gateway.
+
+    Attributes:
+        stop: Plan of the shutdown in progress, or None.
+    """
 
     registry: registry.Registry
     server_health: server_health.ServerHealthTable
@@ -41,6 +46,7 @@
     metrics: core.Metrics
     events: core.EventLog
     random: random.Random
+    stop: stops.StopPlan | None = None
     answer_memory: memory.AnswerMemory = dataclasses.field(
         default_factory=memory.AnswerMemory
     )
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -62,6 +62,8 @@
 # Retry delay of callers whose request crashes servers. Callers that wait this
 # long at most come back after the longest delay that they accept.
 CRASHING_RETRY_AFTER_SECONDS = 60.0
+# Callers rejected by a stopping gateway can retry elsewhere immediately.
+STOPPING_RETRY_AFTER_SECONDS = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -93,11 +95,19 @@
     )
 
 
+def refuse_stopping() -> FinalAnswer:
+    """Returns the answer to a call that did not run as the process ends."""
+    return refuse_not_run(
+        admission.Refusal.STOPPING, STOPPING_RETRY_AFTER_SECONDS
+    )
+
+
 class _WakeReason(enum.Enum):
     """Events other than the end of an attempt that wake a waiting call."""
 
     CALLER_LEFT = "caller_left"
     HEDGE_PLANNED = "hedge_planned"
+    STOPPING = "stopping"
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -244,6 +254,10 @@
         self._abandoned = True
         await self._events.put(_WakeReason.CALLER_LEFT)
 
+    async def stop_waiting(self) -> None:
+        """Ends the call if no server has it, because the process ends."""
+        await self._events.put(_WakeReason.STOPPING)
+
     def _reserve_memory(self, size: int) -> bool:
         reserved = self._shared.answer_memory.try_reserve(size)
         if reserved:
@@ -295,6 +309,10 @@
             if event is _WakeReason.CALLER_LEFT:
                 self._log_caller_left()
                 return None
+            if event is _WakeReason.STOPPING:
+                if any(a.open and a.sent for a in self._attempts):
+                    continue
+                return self._end_wait()
             open_attempts -= 1
             if event.kind is protocols.AnswerKind.SERVED:
                 return FinalAnswer(
@@ -307,9 +325,35 @@
             await self._start_attempt()
             open_attempts = 1
 
+    def _end_wait(self) -> FinalAnswer:
+        """Returns the answer to a call that was at no server at the exit."""
+        if self._may_have_run():
+            return FinalAnswer(
+                response=None,
+                status=UNKNOWN_STATUS,
+                refusal=admission.Refusal.OUTCOME_UNKNOWN,
+            )
+        return refuse_stopping()
+
+    def _may_send(self) -> bool:
+        """Returns whether an answer may be expected before the process ends.
+
+        Asked for each send, since the call may have waited.
+        """
+        stop = self._shared.stop
+        return stop is None or stop.accepts_call(
+            now=time.monotonic(),
+            deadline=self._answer_by,
+            estimate_seconds=self._shared.demands.find(
+                self._route
+            ).work_seconds,
+            repeatable=self._route.repeatable,
+        )
+
     def _may_hedge(self) -> bool:
         allowed = (
             self._route.repeatable
+            and self._may_send()
             and not self._is_suspect()
             and self._count_sends() < self._route.max_attempts
             and self._spend_repeat()
@@ -404,6 +448,8 @@
                 status=last.response.status,
                 refusal=last.refusal,
             )
+        if last.refusal is admission.Refusal.STOPPING:
+            return refuse_stopping()
         if last.refusal is admission.Refusal.CRASHES_SERVERS:
             return refuse_not_run(last.refusal, CRASHING_RETRY_AFTER_SECONDS)
         wait = last.wait_seconds
@@ -455,6 +501,11 @@
     async def _attempt_permitted(self, attempt: _Attempt) -> None:
         tried, first = frozenset(self._tried), len(self._attempts) == 1
         choice = await self._selection.choose(tried=tried, first=first)
+        if not self._may_send():
+            attempt.refusal = admission.Refusal.STOPPING
+            if choice.probe is not None:
+                await self._shared.channels.release(choice.probe)
+            return
         if choice.hand_over:
             if await self._hand_over(attempt):
                 return
--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -194,7 +194,7 @@
     def is_ready(self) -> bool:
         """Returns whether this gateway may be listed to callers."""
         return (
-            self._calls.stop is None
+            self._shared.stop is None
             and self._calls.configuration is not None
             and self._registry.loaded
             and self._quarantine.loaded
@@ -407,16 +407,14 @@
         plan = stops.StopPlan(
             signalled_at=now, grace_seconds=self._settings.grace_seconds
         )
-        self._calls.stop = plan
+        self._shared.stop = plan
         self._events.write_state(
             "stop", signal=number.name, open_calls=self._calls.open_calls
         )
         await self._gossip.send_round()
-        while time.monotonic() < plan.close_at:
-            serving = time.monotonic() < plan.serve_until
-            if not serving and self._calls.open_calls == 0:
-                break
-            await curio.sleep(stops.CHECK_SECONDS)
+        await self._wait_for_calls(plan, until=plan.answer_by)
+        await self._calls.reject_waiting()
+        await self._wait_for_calls(plan, until=plan.close_at)
         await self._calls.close(deadline=plan.exit_at)
         self._events.write_state(
             "end",
@@ -424,3 +422,12 @@
             open_connections=self._calls.open_connections,
         )
         self._events.flush()
+
+    async def _wait_for_calls(
+        self, plan: stops.StopPlan, *, until: float
+    ) -> None:
+        """Waits until no call is open and callers have had time to leave."""
+        while (now := time.monotonic()) < until:
+            if now >= plan.serve_until and self._calls.open_calls == 0:
+                return
+            await curio.sleep(stops.CHECK_SECONDS)
--- a/libs/direct/tests/test_forwarding.py
+++ b/libs/direct/tests/test_forwarding.py
@@ -62,6 +62,7 @@
 
 def make_exchange(pool):
     shared = types.SimpleNamespace(
+        stop=None,
         channels=types.SimpleNamespace(
             pool=lambda address: pool, record_send=lambda server_id: None
         ),
--- a/tests/adapter/callers.py
+++ b/tests/adapter/callers.py
@@ -182,6 +182,20 @@
                 raise h11.RemoteProtocolError(f"{event} before an answer")
 
 
+class Tasks:
+    """Tasks that a test waits for; a curio.TaskGroup hides their errors."""
+
+    def __init__(self):
+        self._tasks = []
+
+    async def spawn(self, run, *args):
+        self._tasks.append(await curio.spawn(run, *args))
+
+    async def join(self):
+        for task in self._tasks:
+            await task.join()
+
+
 async def send_one(ip, name, target, **fields):
     """Sends a call on a new connection; [] if the gateway is gone."""
     try:
--- a/tests/adapter/standin.py
+++ b/tests/adapter/standin.py
@@ -361,7 +361,9 @@
         }
 
 
-def make_configuration(version, rules, *, host="h.example", **limits):
+def make_configuration(
+    version, rules, *, host="h.example", target_seconds=0.6, **limits
+):
     """Returns a configuration; rules are (prefix, kind, service, fields)."""
     return {
         "specification": {
@@ -380,7 +382,7 @@
                         {
                             "name": f"r{index}",
                             "kind": kind,
-                            "targetLatencyS": 0.6,
+                            "targetLatencyS": target_seconds,
                             "priority": 1,
                             "matchRule": {"pathPrefix": prefix},
                             "routeAction": {
--- a/tests/adapter/test_planned_stops.py
+++ b/tests/adapter/test_planned_stops.py
@@ -70,10 +70,11 @@
         (call,) = await callers.send_one(ip, name, f"/{path}/{work}")
         assert call.status == 200
 
-    async with curio.TaskGroup() as group:
-        for path in paths:
-            for number in range(WARM_UP_CALLS):
-                await group.spawn(run, path, number)
+    group = callers.Tasks()
+    for path in paths:
+        for number in range(WARM_UP_CALLS):
+            await group.spawn(run, path, number)
+    await group.join()
 
 
 class Schedule:
@@ -85,7 +86,7 @@
 
     def __init__(self, stopped_at):
         self._stopped_at = stopped_at
-        self._group = curio.TaskGroup()
+        self._group = callers.Tasks()
         self.calls = []
 
     async def add(self, seconds, send, *args, **fields):
@@ -184,6 +185,66 @@
     deployments.run(tmp_path, scenario, rules=RULES)
 
 
+# Limit of calls that may wait beyond the end of a stop.
+LONG_RULES = [
+    ("/queue/", "non_idempotent", "s", {"timeoutS": 9.0}),
+    ("/check/", "idempotent", "s", {"timeoutS": 9.0}),
+]
+# Late in the short grace time, and after it.
+FREED_SECONDS = (2.3, 4.0)
+
+
+@pytest.mark.parametrize("freed_seconds", FREED_SECONDS)
+def test_calls_that_wait_until_the_exit_are_refused(tmp_path, freed_seconds):
+    """Guards against calls that no server got and the exit cuts."""
+
+    async def scenario(deployment, *ips):
+        for server in deployment.servers:
+            server.find_work = find_work
+        await deployment.configure(2, LONG_RULES, target_seconds=9.0)
+        for ip in ips:
+            await deployments.wait_until(
+                lambda ip=ip: deployment.read_events(ip, "configuration")[1:]
+            )
+            # The average starts at a third of the target.
+            for number in range(40):
+                for path in ("queue", "check"):
+                    (call,) = await callers.send_one(
+                        ip,
+                        f"{path}-{ip}-early-{number}",
+                        f"/{path}/0.02",
+                        deadline_ms=9000,
+                    )
+                    assert call.status == 200
+        for server in deployment.servers:
+            server.load = "2,0,2,100"
+        schedule = Schedule(stopped_at := time.monotonic() + 0.5)
+        stopping = callers.Tasks()
+        for ip in ips:
+            for path in ("queue", "check"):
+                for seconds in (-0.4, -0.1, 0.3, 1.0, 1.4):
+                    await schedule.add(
+                        seconds,
+                        callers.send_one,
+                        ip,
+                        f"{path}-{ip}-{seconds}",
+                        f"/{path}/0.8",
+                        deadline_ms=9000,
+                    )
+            await stopping.spawn(stop, deployment, ip, stopped_at)
+        await curio.sleep(stopped_at + freed_seconds - time.monotonic())
+        for server in deployment.servers:
+            server.load = "0,0,2,100"
+        await schedule.finish()
+        assert find_faults(deployment, schedule.calls, stopped_at) == []
+        assert [call.status for call in schedule.calls] == [503] * 10
+        await stopping.join()
+
+    deployments.run(
+        tmp_path, scenario, rules=RULES, grace_seconds=SHORT_GRACE_SECONDS
+    )
+
+
 async def open_connections(ip, count):
     return [await callers.Connection.open(ip) for _ in range(count)]
 
@@ -227,7 +288,7 @@
         await add_calls_around(
             schedule, held, 5.55 + shift, 5.9, label="held", work=0.0
         )
-        stopping = curio.TaskGroup()
+        stopping = callers.Tasks()
         for ip in ips:
             await stopping.spawn(stop, deployment, ip, stopped_at)
         await schedule.finish()
@@ -344,7 +405,7 @@
         for ip in ips:
             await warm_up(ip, "order", "check")
         schedule = Schedule(stopped_at := time.monotonic() + 0.5)
-        stopping = curio.TaskGroup()
+        stopping = callers.Tasks()
         for ip, series in zip(ips, SIGNAL_SERIES, strict=True):
             for seconds in spread(-0.3, 2.0):
                 for path, work in (("order", 0.29), ("check", 0.88)):
@@ -447,7 +508,7 @@
 
     async def scenario(deployment, _):
         schedule = Schedule(started_at := time.monotonic() + 0.1)
-        stopping = curio.TaskGroup()
+        stopping = callers.Tasks()
         ips = [f"127.0.8.{n}" for n in range(1, 7)]
         for n, ip in enumerate(ips):
             deployment.start_gateway(ip)
@@ -568,7 +629,7 @@
             LookupCaller(number, ips, random.Random(random_source.random()))
             for number in range(LOOKUP_CALLERS)
         ]
-        tasks = curio.TaskGroup()
+        tasks = callers.Tasks()
         until = started_at + 0.3 + 1.5 + deployments.GRACE_SECONDS
         for caller in group:
             await tasks.spawn(caller.run, deployment, until)
