adapter: one object that cannot be read hid all others

Cause: `list` and `watch` decoded a response as a whole, so that one object made it "not JSON", which counts as a store that is down. Nesting raised a RecursionError, which ended the reading task each time. So did an odd `revision` or `name`. msgspec.Raw was ruled out: it refuses the whole text for nesting, raw control characters, half surrogates and NaN.

Now a response is split by its brackets and strings only, and the value of an object is passed on as it was written, for its reader to reject. An object whose metadata cannot be read has no value; if a change does not even name its object, the kind is listed again. A response whose own structure is broken is a failure of the store, as before; a list that does not continue was read without end and is one now.

--- a/tests/adapter/standin.py
+++ b/tests/adapter/standin.py
@@ -25,7 +25,10 @@
 
 
 def make_response(status, body=None, headers=()):
-    data = b"" if body is None else json.dumps(body).encode()
+    if body is None or isinstance(body, bytes):
+        data = body or b""
+    else:
+        data = json.dumps(body).encode()
     return http.Response(status=status, headers=tuple(headers), body=data)
 
 
@@ -124,12 +127,15 @@
         store: The stored objects; its `faults` apply to the HTTP calls.
         calls: Number of calls by method and kind.
         refusing: Whether it refuses all calls over HTTP.
+        odd_metadata: Bytes sent in place of the metadata of an object, by kind
+            and name.
     """
 
     def __init__(self):
         super().__init__()
         self.store = testing.MemoryStore()
         self.refusing = False
+        self.odd_metadata = {}
         self.calls = collections.Counter()
 
     async def restore(self, copy):
@@ -138,7 +144,10 @@
 
     async def put(self, kind, name, value):
         """Writes an object as the operator or a server does."""
-        data = json.dumps(value).encode()
+        await self.put_bytes(kind, name, json.dumps(value).encode())
+
+    async def put_bytes(self, kind, name, data):
+        """Writes an object as another writer may: `{...}` of any bytes."""
         current = self.store.peek(kind=kind, name=name)
         if current is None:
             await self.store.create(kind=kind, name=name, value=data)
@@ -152,8 +161,14 @@
         await self.store.delete(kind=kind, name=name, version=current.version)
 
     def _encode(self, stored):
-        metadata = {"name": stored.name, "revision": stored.version}
-        return {"metadata": metadata, **json.loads(stored.value or b"{}")}
+        """Returns an object as it is sent; its bytes may be no JSON."""
+        metadata = self.odd_metadata.get((stored.kind, stored.name))
+        if metadata is None:
+            fields = {"name": stored.name, "revision": stored.version}
+            metadata = json.dumps(fields).encode()
+        rest = (stored.value or b"{}").strip()[1:]
+        separator = b"" if rest.strip() == b"}" else b", "
+        return b'{"metadata": %s%s%s' % (metadata, separator, rest)
 
     async def handle(self, request, _):
         path, _, query = request.target.decode().partition("?")
@@ -204,13 +219,12 @@
         listing = await self.store.list(kind=kind)
         after = fields.get("after", "")
         rest = [stored for stored in listing.objects if stored.name > after]
+        items = b", ".join(self._encode(stored) for stored in rest[:PAGE_SIZE])
+        more = json.dumps(len(rest) > PAGE_SIZE).encode()
         return make_response(
             200,
-            {
-                "items": [self._encode(stored) for stored in rest[:PAGE_SIZE]],
-                "hasMore": len(rest) > PAGE_SIZE,
-                "asOf": listing.version,
-            },
+            b'{"items": [%s], "hasMore": %s, "asOf": %d}'
+            % (items, more, listing.version),
         )
 
     async def _write(self, request, kind):
@@ -236,14 +250,17 @@
             since=int(fields["watch"]),
             deadline=time.monotonic() + int(fields["waitMs"]) / 1000,
         )
-        events = [
-            {
-                "deleted": change.type is platform.ChangeType.DELETE,
-                "object": self._encode(change.object),
-            }
+        events = b", ".join(
+            b'{"deleted": %s, "object": %s}'
+            % (
+                json.dumps(change.type is platform.ChangeType.DELETE).encode(),
+                self._encode(change.object),
+            )
             for change in changes.changes
-        ]
-        return make_response(200, {"events": events, "asOf": changes.version})
+        )
+        return make_response(
+            200, b'{"events": [%s], "asOf": %d}' % (events, changes.version)
+        )
 
 
 class ServerStandin(HttpStandin):
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -1,12 +1,15 @@
 """Tests of the object store's client against a stand-in."""
 
+import itertools
 import time
 
 import curio
+import odd_entries
 import pytest
 import standin
 
 import banyandale_adapter as adapter
+import banyandale_http as http
 import banyandale_platform as platform
 
 
@@ -155,3 +158,169 @@
             await client.list(kind="k")
 
     run(scenario)
+
+
+async def put_around(store, data):
+    """Writes an odd object between two others."""
+    await store.put("k", "a", {"specification": 1})
+    await store.put_bytes("k", odd_entries.NAME, data)
+    await store.put("k", "b", {"specification": 2})
+
+
+def find_values(objects):
+    return {stored.name: stored.value for stored in objects}
+
+
+@pytest.mark.parametrize("odd", odd_entries.ODD)
+def test_one_unreadable_object_leaves_the_others_readable(odd):
+    """Guards against one object that makes a whole response unreadable."""
+    data = odd_entries.make_entry(*odd_entries.ODD[odd])
+
+    async def scenario(store, client):
+        await store.put("k", "0", {})
+        before = await client.list(kind="k")
+        await put_around(store, data)
+        expected = {
+            "a": b'{"specification": 1}',
+            "b": b'{"specification": 2}',
+            # As it was written, for its reader to reject.
+            odd_entries.NAME: data,
+        }
+        listing = await client.list(kind="k")
+        assert find_values(listing.objects) == {"0": b"{}", **expected}
+        changes = await watch(client, before.version)
+        assert find_values(c.object for c in changes.changes) == expected
+        await store.delete("k", odd_entries.NAME)
+        (change,) = (await watch(client, changes.version)).changes
+        assert change.type is platform.ChangeType.DELETE
+        assert change.object.name == odd_entries.NAME
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("odd", odd_entries.ODD_METADATA)
+def test_an_object_without_a_readable_revision_has_no_value(odd):
+    """Guards against a revision that ends the reading of all objects."""
+
+    async def scenario(store, client):
+        key = ("k", odd_entries.NAME)
+        store.odd_metadata[key] = odd_entries.ODD_METADATA[odd]
+        await store.put("k", "0", {})
+        before = await client.list(kind="k")
+        await put_around(store, b"{}")
+        listing = await client.list(kind="k")
+        listed = {stored.name: stored for stored in listing.objects}
+        assert listed.keys() == {"0", "a", "b", odd_entries.NAME}
+        assert listed[odd_entries.NAME].value == b""
+        assert listed[odd_entries.NAME].version == listing.version
+        changes = await watch(client, before.version)
+        first, second, third = (change.object for change in changes.changes)
+        assert (first.name, third.name) == ("a", "b")
+        assert second.value == b""
+        # Every later change of the object has a higher version.
+        assert first.version < second.version < third.version
+        del store.odd_metadata[key]
+        await store.put_bytes("k", odd_entries.NAME, b'{"specification": 3}')
+        (change,) = (await watch(client, changes.version)).changes
+        assert change.object.value == b'{"specification": 3}'
+        assert change.object.version > listed[odd_entries.NAME].version
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("odd", odd_entries.NO_NAME)
+def test_an_object_without_a_readable_name_leaves_the_others(odd):
+    """Guards against a name that ends the reading of all objects."""
+
+    async def scenario(store, client):
+        await store.put("k", "0", {})
+        before = await client.list(kind="k")
+        await put_around(store, b"{}")
+        metadata = odd_entries.NO_NAME[odd]
+        store.odd_metadata["k", odd_entries.NAME] = metadata
+        listing = await client.list(kind="k")
+        assert {s.name for s in listing.objects} == {"0", "a", "", "b"}
+        # Nobody can tell which object has changed: all are listed again.
+        with pytest.raises(platform.WatchExpiredError):
+            await watch(client, before.version)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("odd", odd_entries.UNREAD_METADATA)
+def test_metadata_that_nobody_reads_changes_nothing(odd):
+    """Guards against metadata of no use that hides an object."""
+
+    async def scenario(store, client):
+        await put_around(store, b'{"specification": 3}')
+        version = store.store.peek(kind="k", name=odd_entries.NAME).version
+        metadata = odd_entries.UNREAD_METADATA[odd] % version
+        store.odd_metadata["k", odd_entries.NAME] = metadata
+        listing = await client.list(kind="k")
+        (found,) = [s for s in listing.objects if s.name == odd_entries.NAME]
+        assert (found.version, found.value) == (
+            version,
+            b'{"specification": 3}',
+        )
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"[]",
+        b"\xff",
+        b"{}",
+        b'{"items": [], "hasMore": false}',
+        b'{"items": 5, "asOf": 5}',
+        b'{"items": [], "asOf": "5"}',
+        b'{"items": [], "asOf": -5}',
+        b'{"items": [], "asOf": 1e400}',
+        b'{"items": [}, "asOf": 5}',
+        b'{"items": [{"metadata": {"name": "a]}, "asOf": 5}',
+        b'{"items": [{]}, "asOf": 5}',
+        b'{"items": [{},], "asOf": 5}',
+        b'{"items": [{} {}], "asOf": 5}',
+        b'{"items": [], "asOf": 5} 5',
+        b'{"items": [], "asOf": 5',
+        b'{"items": [%s, "asOf": 5}' % (b"[" * 100_000),
+    ],
+)
+def test_a_response_that_is_no_list_is_no_answer(body):
+    """Guards against a broken response that passes for an empty list."""
+
+    async def scenario(store, client):
+        async def respond(request, _):
+            return http.Response(status=200, body=body)
+
+        store.handle = respond
+        with pytest.raises(platform.StoreUnavailableError):
+            await client.list(kind="k")
+        with pytest.raises(platform.StoreUnavailableError):
+            await watch(client, 1, 0.05)
+        with pytest.raises(platform.StoreUnavailableError):
+            await client.get(kind="k", name="n")
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("names", [(b"a",), (b"a", b"b")])
+def test_a_list_that_does_not_continue_is_no_answer(names):
+    """Guards against pages that are read without end."""
+    pages = itertools.cycle(names)
+
+    async def scenario(store, client):
+        async def respond(request, _):
+            metadata = b'{"name": "%s", "revision": 1}' % next(pages)
+            items = b'[{"metadata": %s}]' % metadata
+            return http.Response(
+                status=200, body=b'{"items":%s,"hasMore":true,"asOf":5}' % items
+            )
+
+        store.handle = respond
+        with pytest.raises(platform.StoreUnavailableError):
+            await client.list(kind="k")
+
+    run(scenario)
