adapter: entries out of bounds were servers, and could end the gossip

An entry with 401 digits of slots, a port of 65,536, a host name or a start of 30 years was a server that got calls. The first raised nothing: no code uses the slots of an entry. A port out of range raises in the probe, a host name is looked up inside the event loop. A crash record that expires in years, or broke at 1e306, cannot be encoded for other gateways (32 bits of milliseconds; infinity is no int).

--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -2,6 +2,7 @@
 
 import json
 
+import odd_entries
 import pytest
 import standin
 
@@ -72,6 +73,121 @@
         CODEC.read_server(make_stored(entry), zones=ZONES)
 
 
+def make_bytes(data, kind="servers", name="i-1"):
+    return platform.StoredObject(kind=kind, name=name, version=1, value=data)
+
+
+@pytest.mark.parametrize("odd", odd_entries.ODD)
+def test_an_odd_entry_names_no_server(odd):
+    """Guards against calls to a server that is not what its entry says.
+
+    Also guards against a number or nesting that ends what reads the entry.
+    """
+    data = odd_entries.make_entry(*odd_entries.ODD[odd])
+    with pytest.raises(direct.MalformedEntryError):
+        CODEC.read_server(make_bytes(data), zones=ZONES)
+    valid = make_bytes(odd_entries.make_entry())
+    assert CODEC.read_server(valid, zones=ZONES).address == "127.0.0.1:9"
+
+
+def test_largest_values_of_an_entry_are_read():
+    """Guards against bounds that reject a server that exists."""
+    entry = json.loads(odd_entries.make_entry(address="255.255.255.254:65535"))
+    entry["specification"]["nodeInfo"]["capacitySlots"] = 1_000_000
+    entry["specification"]["born"] = 2**63 - 1
+    entry["specification"]["nodeInfo"]["version"] = "v" * 256
+    entry["status"].update(seq=2**63 - 1, warmupLeftS=86_400)
+    read = CODEC.read_server(make_stored(entry), zones=ZONES)
+    assert (read.slots, read.report) == (1_000_000, 2**63 - 1)
+
+
+@pytest.mark.parametrize("kind", ["servers", "gateways", "crashes", "config"])
+def test_an_object_without_readable_metadata_is_rejected(kind):
+    """Guards against an object of which not even the name is known."""
+    with pytest.raises(direct.MalformedEntryError, match="revision"):
+        read_any(make_bytes(b"", kind, ""))
+
+
+def read_any(stored):
+    if stored.kind == "servers":
+        return CODEC.read_server(stored, zones=ZONES)
+    if stored.kind == "gateways":
+        return CODEC.read_member(stored)
+    if stored.kind == "crashes":
+        return CODEC.read_crash_record(stored, unix_offset=0.0)
+    return CODEC.read_configuration(stored)
+
+
+@pytest.mark.parametrize(
+    ("name", "zone"),
+    [
+        ("10.0.0.1", ["a"]),
+        ("10.0.0.1", 5),
+        ("10.0.0.1", "z" * 5000),
+        ("0.0.0.0", "a"),
+        ("255.255.255.255", "a"),
+        ("224.0.0.1", "a"),
+        ("localhost", "a"),
+    ],
+)
+def test_an_odd_entry_names_no_gateway(name, zone):
+    """Guards against datagrams to an address that is no gateway's."""
+    value = {"specification": {"zone": zone}}
+    with pytest.raises(direct.MalformedEntryError):
+        CODEC.read_member(make_stored(value, "gateways", name))
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"expiresAt": 1e300},
+        {"expiresAt": 10**400},
+        {"crashes": [{"server": "i", "born": 1, "brokeAt": 1e306, "order": 0}]},
+        {"crashes": [{"server": 5, "born": 1, "brokeAt": 1, "order": 0}]},
+        {"crashes": [{"server": "i", "born": 1, "brokeAt": 1, "order": 256}]},
+        {
+            "crashes": [
+                {"server": "i" * 5000, "born": 1, "brokeAt": 1, "order": 0}
+            ]
+        },
+    ],
+)
+def test_a_crash_record_out_of_bounds_is_rejected(change):
+    """Guards against times that cannot be told to other gateways."""
+    value = {"specification": {"crashes": [], "expiresAt": 5.0, **change}}
+    stored = make_stored(value, "crashes", "ab" * direct.FINGERPRINT_BYTES)
+    with pytest.raises(direct.MalformedEntryError):
+        CODEC.read_crash_record(stored, unix_offset=0.0)
+
+
+@pytest.mark.parametrize(
+    ("path", "text"),
+    [
+        (("version",), b"7" * 401),
+        (("version",), b"18446744073709551616"),
+        (("version",), b"-1"),
+        (("listeners", 0, "rules", 0, "targetLatencyS"), b"1e999"),
+        (("listeners", 0, "rules", 0, "targetLatencyS"), b"7" * 400),
+        (("listeners", 0, "rules", 0, "priority"), b"7" * 400),
+        (("limits", "maxBodyBytes"), b"7" * 400),
+        (("limits", "idleTimeoutS"), b"NaN"),
+        (("limits",), b"[" * 3000 + b"]" * 3000),
+        (("more",), b"7" * 5000),
+        (("upstreamClusters", 0, "warmupPerS"), b"Infinity"),
+    ],
+)
+def test_a_configuration_out_of_bounds_is_refused(path, text):
+    """Guards against a number in a configuration that ends the process."""
+    document = standin.make_configuration(7, [("/x/", "idempotent", "s", {})])
+    target = document["specification"]
+    for key in path[:-1]:
+        target = target[key]
+    target[path[-1]] = "@"
+    data = json.dumps(document).encode().replace(b'"@"', text)
+    with pytest.raises(direct.MalformedEntryError):
+        CODEC.read_configuration(make_bytes(data, "config", "main"))
+
+
 def test_a_configuration_is_read_whole():
     """Guards against losing routes, traffic shares or limits."""
     split = [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}]
