direct: one object's error could end the reading of all, and filled the log

Only MalformedEntryError kept one object apart; any other error (RecursionError, MemoryError, OverflowError) ended the task that read the kind. A rejected object was logged again by each listing, gateways' entries every 10 s, with all that the error quoted. Nothing said when it was gone.

`Rejections` reads objects one by one: any error of one is its rejection, logged once for each version, at most 200 characters, counted, with the number of those that are there now as a gauge. Deletion and repair are logged.

An entry that was usable and turns unreadable is treated like a deleted one, as nothing of its earlier content is there any more.

A test of hypothesis changes one entry of a list in any place, and goes through a peer's copy as well.

--- a/libs/direct/src/banyandale_direct/_quarantine.py
+++ b/libs/direct/src/banyandale_direct/_quarantine.py
@@ -8,6 +8,7 @@
 import collections
 from collections.abc import Callable
 import dataclasses
+import functools
 import json
 import time
 
@@ -23,8 +24,8 @@
 from banyandale_direct import _members as members
 from banyandale_direct import _protocols as protocols
 from banyandale_direct import _registry as registry
+from banyandale_direct import _rejections as rejections
 from banyandale_direct import _rendezvous as rendezvous
-from banyandale_direct import _store_updates as store_updates
 import banyandale_http as http
 import banyandale_platform as platform
 
@@ -151,6 +152,7 @@
         self._reads_store = reads_store
         self._events = events
         self._metrics = metrics
+        self._rejections = rejections.Rejections(events=events, metrics=metrics)
         self._leases = crash_records.TrialLeases()
         self._breaks = crash_records.BreakWindow()
         self._unexplained: collections.deque[_Break] = collections.deque(
@@ -527,15 +529,12 @@
 
     def _apply_listing(self, listing: platform.Listing) -> None:
         now = core.boot_seconds()
+        decode = functools.partial(
+            self._documents.read_crash_record, unix_offset=time.time() - now
+        )
         for stored in listing.objects:
-            try:
-                record = self._documents.read_crash_record(
-                    stored, unix_offset=time.time() - now
-                )
-            except protocols.MalformedEntryError as error:
-                store_updates.report_rejected(
-                    stored, error, self._events, self._metrics
-                )
+            record = self._rejections.read(stored, decode)
+            if record is None:
                 continue
             if record.expires_at <= now:
                 self._to_delete.add(record.fingerprint)
--- a/libs/direct/src/banyandale_direct/_registration.py
+++ b/libs/direct/src/banyandale_direct/_registration.py
@@ -13,7 +13,7 @@
 import banyandale_core as core
 from banyandale_direct import _members as members
 from banyandale_direct import _protocols as protocols
-from banyandale_direct import _store_updates as store_updates
+from banyandale_direct import _rejections as rejections
 import banyandale_platform as platform
 
 # Time allowed for the seed addresses to answer.
@@ -45,6 +45,7 @@
         self._events = events
         self._metrics = metrics
         self._random = random_source
+        self._rejections = rejections.Rejections(events=events, metrics=metrics)
 
     async def run(self) -> None:
         """Writes and reads the entries in an endless loop."""
@@ -80,14 +81,12 @@
         if self._table.own.ip not in names:
             # Not written yet, or lost by the store.
             await self._write_entry()
-        others = []
-        for stored in listing.objects:
-            try:
-                others.append(self._documents.read_member(stored))
-            except protocols.MalformedEntryError as error:
-                store_updates.report_rejected(
-                    stored, error, self._events, self._metrics
-                )
+        self._rejections.keep_only(self._documents.member_kind, names)
+        read = [
+            self._rejections.read(stored, self._documents.read_member)
+            for stored in listing.objects
+        ]
+        others = [member for member in read if member is not None]
         self._table.add_unconfirmed(others, now=time.monotonic())
         self._events.write_state(
             "registered", gateways=len(others), store_version=listing.version
--- a/libs/direct/src/banyandale_direct/_store_updates.py
+++ b/libs/direct/src/banyandale_direct/_store_updates.py
@@ -8,6 +8,7 @@
 from banyandale_direct import _configuration as configuration
 from banyandale_direct import _protocols as protocols
 from banyandale_direct import _registry as registry
+from banyandale_direct import _rejections as rejections
 from banyandale_direct import _settings as settings
 from banyandale_direct import _versions as versions
 import banyandale_platform as platform
@@ -18,23 +19,6 @@
 MAX_CONFIGURATION_VERSION = 2**64 - 1
 
 
-def report_rejected(
-    stored: platform.StoredObject,
-    error: Exception,
-    events: core.EventLog,
-    metrics: core.Metrics,
-) -> None:
-    """Logs and counts a stored object that cannot be parsed."""
-    metrics.incr(f"entry_rejected:{stored.kind}")
-    events.write(
-        "entry_rejected",
-        kind=stored.kind,
-        name=stored.name,
-        version=stored.version,
-        error=str(error),
-    )
-
-
 class StoreUpdateHandler:
     """Parses stored objects; invalid ones never replace valid ones."""
 
@@ -64,6 +48,7 @@
         self._on_configuration = on_configuration
         self._events = events
         self._metrics = metrics
+        self._rejections = rejections.Rejections(events=events, metrics=metrics)
         self._version: int | None = None
         self._zones_era = 0
         # Zones that stay out of service although the store lacks them.
@@ -92,15 +77,16 @@
         version: versions.Version,
     ) -> None:
         """Applies a listing of all objects of a kind at a store version."""
+        self._rejections.keep_only(kind, {stored.name for stored in objects})
         if kind == self._documents.configuration_kind:
             for stored in objects:
                 self._apply_configuration(stored)
         elif kind == self._documents.server_kind:
             self._replace_servers(objects, version)
         else:
-            self._replace_zones_out(
-                {stored.name for stored in objects}, version
-            )
+            # An object whose name cannot be read names no zone.
+            zones = {stored.name for stored in objects if stored.name}
+            self._replace_zones_out(zones, version)
 
     def reconcile(
         self,
@@ -143,10 +129,9 @@
         """Returns the highest version of the valid configurations."""
         found = []
         for stored in objects:
-            try:
-                read = self._documents.read_configuration(stored)
-            except protocols.MalformedEntryError:
-                continue
+            read = self._rejections.read(
+                stored, self._documents.read_configuration
+            )
             if read is not None:
                 found.append(read.version)
         return max(found, default=None)
@@ -155,6 +140,8 @@
         """Applies one change of an era of the store."""
         version = versions.Version(era, change.object.version)
         kind = change.object.kind
+        if change.type is platform.ChangeType.DELETE:
+            self._rejections.forget(kind, change.object.name)
         if kind == self._documents.configuration_kind:
             if change.type is platform.ChangeType.PUT:
                 self._apply_configuration(change.object)
@@ -164,15 +151,15 @@
             self._change_zone(change, version)
 
     def _apply_configuration(self, stored: platform.StoredObject) -> None:
-        try:
-            read = self._documents.read_configuration(stored)
-        except protocols.MalformedEntryError as error:
-            report_rejected(stored, error, self._events, self._metrics)
-            return
+        self._rejections.read(stored, self._accept_configuration)
+
+    def _accept_configuration(self, stored: platform.StoredObject) -> None:
+        read = self._documents.read_configuration(stored)
         if read is None:
             return
         if self._version is not None and read.version <= self._version:
             return
+        self._on_configuration(read)
         self._events.write_state(
             "configuration",
             version=read.version,
@@ -182,18 +169,14 @@
         )
         self._version = read.version
         self._metrics.gauge("configuration_version", read.version)
-        self._on_configuration(read)
 
     def _read_server(
         self, stored: platform.StoredObject
     ) -> registry.Server | None:
-        try:
-            return self._documents.read_server(
-                stored, zones=self._settings.regions
-            )
-        except protocols.MalformedEntryError as error:
-            report_rejected(stored, error, self._events, self._metrics)
-            return None
+        return self._rejections.read(stored, self._decode_server)
+
+    def _decode_server(self, stored: platform.StoredObject) -> registry.Server:
+        return self._documents.read_server(stored, zones=self._settings.regions)
 
     def _replace_servers(
         self,
--- a/tests/adapter/test_malformed_input.py
+++ b/tests/adapter/test_malformed_input.py
@@ -4,18 +4,23 @@
 import dataclasses
 import json
 import random
+import types
 
 import hypothesis
 from hypothesis import strategies
 import standin
 
 import banyandale_adapter as adapter
+import banyandale_core as core
 import banyandale_direct as direct
 from banyandale_direct import _admission as admission
 from banyandale_direct import _crash_records as crash_records
 from banyandale_direct import _digests as digests
 from banyandale_direct import _members as members
 from banyandale_direct import _named_limits as named_limits
+from banyandale_direct import _registry as registry
+from banyandale_direct import _replicas as replicas
+from banyandale_direct import _store_updates as store_updates
 from banyandale_direct import _versions as versions
 import banyandale_http as http
 import banyandale_platform as platform
@@ -143,6 +148,103 @@
         return
 
 
+ODD_TEXTS = strategies.sampled_from(
+    [
+        b"[" * 3000 + b"]" * 3000,
+        b'{"a":' * 3000 + b"1" + b"}" * 3000,
+        b"7" * 5000,
+        b"7" * 401,
+        b"-7",
+        b"1e999",
+        b"NaN",
+        b"null",
+        b"[]",
+        b"{}",
+        b'"\xf1"',
+        rb'"\ud800"',
+        b'"a\x00]}b"',
+        rb'"\"}]\\"',
+        b"\xff\xfe",
+        b'"127.0.0.1:65536"',
+    ]
+) | VALUES.map(lambda value: json.dumps(value).encode())
+
+
+def make_listing(number, path, text):
+    """Returns a listing in which one value of one item is changed.
+
+    The item has its metadata in front, as all others.
+    """
+    items = []
+    for index in range(4):
+        entry = {
+            "metadata": {"name": f"i-{index}", "revision": index + 1},
+            **DOCUMENTS["servers"],
+        }
+        if index == number:
+            entry = replace(entry, path, "@@")
+        items.append(entry)
+    data = json.dumps({"items": items, "hasMore": False, "asOf": 9}).encode()
+    return data.replace(b'"@@"', text)
+
+
+class Client:
+    """Answers every call with the same response."""
+
+    def __init__(self, body):
+        self._response = http.Response(status=200, body=body)
+
+    async def read(self, request, **_):
+        return self._response
+
+
+def run_now(coroutine):
+    """Runs a coroutine that waits for nothing."""
+    try:
+        coroutine.send(None)
+    except StopIteration as stopped:
+        return stopped.value
+    raise AssertionError("it waits")
+
+
+@FIXED
+@hypothesis.given(
+    number=strategies.integers(0, 3),
+    choice=strategies.randoms(use_true_random=False),
+    text=ODD_TEXTS,
+)
+def test_one_changed_entry_leaves_all_others_in_use(number, choice, text):
+    """Guards against one entry, odd in any place, that hides other servers."""
+    whole = {"metadata": {"name": "i", "revision": 1}, **DOCUMENTS["servers"]}
+    path = choice.choice(list_paths(whole))
+    store = adapter.ObjectStore(address="127.0.0.1:9")
+    store._client = Client(make_listing(number, path, text))
+    listing = run_now(store.list(kind="servers"))
+    servers = registry.Registry()
+    handler = store_updates.StoreUpdateHandler(
+        documents=adapter.StoreCodec(),
+        servers=servers,
+        loaded=types.SimpleNamespace(regions=ZONES),
+        on_configuration=lambda read: None,
+        events=core.EventLog(),
+        metrics=core.MemoryMetrics(),
+    )
+    replica = replicas.Replica(kind="servers")
+    replica.apply_listing(listing)
+    # As another gateway gets it.
+    delta = digests.decode_delta(digests.encode_delta(replica.delta(None)))
+    for objects in (
+        listing.objects,
+        tuple(change.object for change in delta.changes),
+    ):
+        handler.apply_listing("servers", objects, versions.Version(0, 9))
+        found = {entry.server.id for entry in servers.find("s", now=0.0)}
+        # The name itself may have been changed into another one.
+        others = {f"i-{index}" for index in range(4) if index != number}
+        assert others <= found
+        assert len(found) <= 4
+
+
 def make_datagram():
     known = [
         members.Member(
