direct: an unexpected error restarted the reading of a kind in a loop

An error that is none of the platform's ended the reading task, which was started again every 0.2 s; a kind whose listing had failed while it was applied was only watched from then on, so that it was never applied.

The reading now ends with a line `read_failed` and a count, pauses for 0.8 s for this kind only, and lists the kind again.

`test_an_error_in_what_follows_ends_no_reading` failed before: assert 1 <= 0 (no error counted)

--- a/libs/direct/src/banyandale_direct/_replication.py
+++ b/libs/direct/src/banyandale_direct/_replication.py
@@ -37,6 +37,8 @@
 # Timeout for fetching a replica from another gateway, over a link of 5 Mbit/s
 # that a few such fetches share.
 FETCH_SECONDS = 2.0
+# Longest error in a line of the log.
+MAX_ERROR_LENGTH = 200
 MAX_DELTA_BYTES = 16 * 1024 * 1024
 REPLICA_PATH = "/replicas/"
 OK_STATUS = 200
@@ -121,6 +123,9 @@
         self._pause = FIRST_PAUSE_SECONDS
         self._retry_at = 0.0
         self.gossip: gossip.Gossip | None = None
+        # Monotonic time from which a kind may be read again whose reading
+        # ended with an unexpected error.
+        self._retry_kind_at: dict[str, float] = {}
 
     def held(self) -> dict[str, versions.Version]:
         """Returns the store version of each kind that has a replica."""
@@ -166,7 +171,8 @@
                 # During an outage one kind is enough to detect that the store
                 # is back.
                 continue
-            if time.monotonic() < self._retry_at:
+            retry_at = max(self._retry_at, self._retry_kind_at.get(kind, 0.0))
+            if time.monotonic() < retry_at:
                 continue
             self._reading.add(kind)
             await curio.spawn(self._read, kind, daemon=True)
@@ -184,6 +190,14 @@
         except platform.PlatformError as error:
             self._record_failure(kind, error)
         finally:
+        except Exception as error:  # Must not end the following of the kind.
+            self._metrics.incr("internal_error")
+            self._events.write_state(
+                "read_failed", kind=kind, error=repr(error)[:MAX_ERROR_LENGTH]
+            )
+            # What was not applied is listed again.
+            self._expired.add(kind)
+            self._retry_kind_at[kind] = time.monotonic() + LONGEST_PAUSE_SECONDS
             self._reading.discard(kind)
 
     async def _read_once(self, replica: replicas.Replica) -> None:
--- a/libs/direct/tests/test_replication.py
+++ b/libs/direct/tests/test_replication.py
@@ -76,3 +76,38 @@
         assert watches <= 1.6 / replication.MIN_WATCH_INTERVAL_SECONDS + 2
 
     curio.run(main)
+
+
+def test_an_error_in_what_follows_ends_no_reading(monkeypatch):
+    """Guards against a kind whose reading ends, or starts again in a loop."""
+    monkeypatch.setattr(replication, "LONGEST_PAUSE_SECONDS", 0.2)
+
+    async def main():
+        store = testing.MemoryStore()
+        listed, failing = [], [True]
+        replicator, metrics = make_replicator(store, lambda change: None)
+
+        def fail(*_):
+            if failing:
+                raise RecursionError
+            listed.append(True)
+
+        replicator._on_listing = fail
+        running = await curio.spawn(replicator.run, daemon=True)
+        await curio.sleep(0.7)
+        assert 1 <= metrics.counters["internal_error"] <= 4
+        failing.clear()
+        await curio.sleep(0.5)
+        assert listed
+        failing.append(True)
+        replicator._on_change = fail
+        await store.create(kind="servers", name="i", value=b"{}")
+        await curio.sleep(0.4)
+        failing.clear()
+        listed.clear()
+        await curio.sleep(0.6)
+        # What the failed change held was listed again.
+        assert listed
+        await running.cancel()
+
+    curio.run(main)
