direct: a gateway that is not ready says what it waits for

A gateway that starts with an unreadable configuration stays unready, and nothing but the absence of a line said why.

--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -67,6 +67,8 @@
         self._events = events
         self._metrics = metrics
         self._random = random.Random()
+        # What the gateway waited for in the last line about it.
+        self._reported_missing: list[str] | None = None
         self._settings = adapter.read_settings()
         loaded = self._settings
         events.identify(node=loaded.node)
@@ -193,12 +195,25 @@
 
     def is_ready(self) -> bool:
         """Returns whether this gateway may be listed to callers."""
-        return (
-            self._shared.stop is None
-            and self._calls.configuration is not None
-            and self._registry.loaded
-            and self._quarantine.loaded
-        )
+        return not self._list_missing()
+
+    def _list_missing(self) -> list[str]:
+        """Returns what this gateway waits for before it is ready."""
+        available = {
+            "running": self._shared.stop is None,
+            "configuration": self._calls.configuration is not None,
+            "servers": self._registry.loaded,
+            "crash_records": self._quarantine.loaded,
+        }
+        return [name for name, there in available.items() if not there]
+
+    def _report_readiness(self) -> None:
+        missing = self._list_missing()
+        if missing != self._reported_missing:
+            self._reported_missing = missing
+            self._events.write_state(
+                "readiness", ready=not missing, missing=missing
+            )
 
     def _current_configuration(self) -> configuration.Configuration | None:
         return self._calls.configuration
@@ -359,6 +374,7 @@
         while True:
             await curio.sleep(HOUSEKEEPING_SECONDS)
             self._reload("file")
+            self._report_readiness()
             self._events.flush()
             self._store_updates.expire_kept_zones()
             addresses = self._registry.addresses()
--- a/tests/adapter/test_odd_entries.py
+++ b/tests/adapter/test_odd_entries.py
@@ -1,5 +1,6 @@
 """Process tests with objects of another writer that nobody can use."""
 
+import json
 import signal
 
 import curio
@@ -200,3 +201,40 @@
         check_logs(deployment, ips)
 
     deployments.run(tmp_path, scenario, GATEWAYS)
+
+
+def test_a_start_without_a_configuration_says_why_it_is_not_ready(tmp_path):
+    """Guards against an operator who cannot tell what a gateway waits for."""
+    valid = {}
+
+    async def scenario(deployment, ip):
+        stored = deployment.store.store.peek(kind="config", name="main")
+        valid.update(json.loads(stored.value))
+        deployment.processes[ip].kill()
+        deployment.processes[ip].wait()
+        await deployment.store.put_bytes(
+            "config",
+            "main",
+            b'{"specification": %s}' % (b"[" * 3000 + b"]" * 3000),
+        )
+        deployment.start_gateway(ip)
+        await wait_for_event(
+            deployment,
+            [ip],
+            "readiness",
+            ready=False,
+            missing=["configuration"],
+        )
+        for _ in range(10):
+            status = await deployment.get_status(
+                ip, deployments.READY_PORT, "/banyandale/ready"
+            )
+            assert status == 503
+            await curio.sleep(0.1)
+        assert deployment.read_events(ip, "entry_rejected")
+        await deployment.store.put("config", "main", valid)
+        await deployment.wait_ready(ip)
+        assert await send_calls(deployment, [ip], "later") == {200}
+        check_logs(deployment, [ip])
+
+    deployments.run(tmp_path, scenario)
