direct: a report of another server at the address refused calls

Cause: the first report of an idle server ends the round of reports, also one that names another server; that one is rejected afterwards, and no other candidate is there.

Such a report now counts as unhealthy, and the entry as failing, so that it is asked last.

`test_an_entry_at_the_address_of_another_server_keeps_no_call` failed before: assert {200, 503} == {200}

--- a/libs/direct/src/banyandale_direct/_channels.py
+++ b/libs/direct/src/banyandale_direct/_channels.py
@@ -303,6 +303,10 @@
                 server=entry.server.id,
                 fields=report.unreadable,
             )
+        if report.server_id not in ("", entry.server.id):
+            # Another server has this address; it tells nothing about this one.
+            self._metrics.incr("report_of_another")
+            return dataclasses.replace(report, healthy=False)
         return report
 
 
@@ -387,7 +391,8 @@
             avoided=self._server_health.is_avoided(server, now=now),
             deadline=deadline,
         )
-        if probe.candidate.report is None:
+        report = probe.candidate.report
+        if report is None or report.server_id not in ("", server.id):
             self._server_health.record_failure(server.id, now=time.monotonic())
         if self._closed:
             await self._channels.release(probe)
--- a/tests/adapter/test_odd_entries.py
+++ b/tests/adapter/test_odd_entries.py
@@ -238,3 +238,25 @@
         check_logs(deployment, [ip])
 
     deployments.run(tmp_path, scenario)
+
+
+def test_an_entry_at_the_address_of_another_server_keeps_no_call(tmp_path):
+    """Guards against a load report that is taken for that of another server.
+
+    It ended the round of reports, and the call was refused as there was no
+    server, though others were idle.
+    """
+
+    async def scenario(deployment, *ips):
+        address = deployment.servers[0].address
+        for number in range(3):
+            data = odd_entries.make_entry(address=address)
+            await deployment.store.put_bytes("servers", f"x-{number}", data)
+        await wait_for_event(
+            deployment, ips, "server_entry", server="x-2", state="ready"
+        )
+        for attempt in range(4):
+            assert await send_calls(deployment, ips, f"c{attempt}") == {200}
+        check_logs(deployment, ips)
+
+    deployments.run(tmp_path, scenario, GATEWAYS)
