adapter: a load of 1e308 raised where a server was chosen

`X-Server-Load: 1e308,1e308,1` made `estimate_seconds` raise "OverflowError: int too large to convert to float" (shown by a call of the function), in every call that had asked this server.

--- a/tests/adapter/test_servers.py
+++ b/tests/adapter/test_servers.py
@@ -4,6 +4,7 @@
 
 import banyandale_adapter as adapter
 import banyandale_direct as direct
+from banyandale_direct import _placement as placement
 import banyandale_http as http
 
 CODEC = adapter.ServerCodec()
@@ -173,3 +174,16 @@
     headers = ((b"x-server-load", load), (b"x-warmup-ms", warmup))
     report = CODEC.read_report(http.Response(status=200, headers=headers))
     assert len(report.unreadable) == count
+
+
+@pytest.mark.parametrize(
+    "load", [b"1e308,1e308,1", b"0,0,1e308", b"0,0,1,1e308"]
+)
+def test_a_load_out_of_range_counts_as_normal(load):
+    """Guards against a number of a server that ends the calls near it."""
+    report = adapter.ServerCodec().read_report(
+        http.Response(status=200, headers=((b"x-server-load", load),))
+    )
+    assert report.unreadable
+    assert report.slots < 100
+    placement.estimate_seconds(report, 0.1)
