http: ports out of range were addresses

`parse_address` took any digits, so that a connect to port 65,536 raised an OverflowError in place of its documented errors. 5,000 digits raised the message of int().

4 of the new tests failed before: "DID NOT RAISE ValueError" (65,536, full-width digits), another message (5,000 digits, a superscript).

--- a/libs/http/src/banyandale_http/_sockets.py
+++ b/libs/http/src/banyandale_http/_sockets.py
@@ -14,6 +14,8 @@
 # bounds how long a connection to an unreachable host stays open.
 TCP_USER_TIMEOUT_MS = 10_000
 LISTEN_BACKLOG = 1024
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
 # TCP keep-alive: idle time before the first probe, interval of the probes, and
 # number of unanswered probes after which the kernel closes the connection.
 KEEPALIVE_IDLE_SECONDS = 1
@@ -33,7 +35,14 @@
         ValueError: The address is not of this form.
     """
     host, separator, port = address.rpartition(":")
-    if not separator or not host or not port.isdigit():
+    if not (
+        separator
+        and host
+        and len(port) <= MAX_PORT_DIGITS
+        and port.isascii()
+        and port.isdecimal()
+        and int(port) <= MAX_PORT
+    ):
         raise ValueError(f"address {address!r} is not of the form ip:port")
     return host.strip("[]"), int(port)
 
