direct: an expiry of years could end the gossip; long numbers of peers

A stored crash record that expires later than in 49 days does not fit the 32 bits of milliseconds in which gateways tell it, so that encoding a digest raises. It is kept for ten minutes at most now, as gateways write it. A lease of 400 digits and a version of 5,000 raised in the endpoint for peers.

--- a/libs/direct/src/banyandale_direct/_quarantine.py
+++ b/libs/direct/src/banyandale_direct/_quarantine.py
@@ -363,7 +363,7 @@
                 self._leases.release(fingerprint, holder=holder)
                 return http.Response(status=NO_CONTENT_STATUS)
             seconds = int(lease_ms[0]) / core.MILLISECONDS_PER_SECOND
-        except (ValueError, IndexError):
+        except (ValueError, IndexError, OverflowError):
             return http.Response(status=NOT_FOUND_STATUS)
         granted = self._grant(
             fingerprint, holder, min(seconds, MAX_LEASE_SECONDS)
@@ -539,6 +539,13 @@
             if record.expires_at <= now:
                 self._to_delete.add(record.fingerprint)
                 continue
+            # No gateway writes a record that is kept for longer.
+            record = dataclasses.replace(
+                record,
+                expires_at=min(
+                    record.expires_at, now + crash_records.KEEP_SECONDS
+                ),
+            )
             self._crashes.merge(record, now=now)
             self._stored[record.fingerprint] = record.count, record.expires_at
         self._events.write_state(
--- a/libs/direct/src/banyandale_direct/_replication.py
+++ b/libs/direct/src/banyandale_direct/_replication.py
@@ -41,6 +41,7 @@
 MAX_ERROR_LENGTH = 200
 MAX_DELTA_BYTES = 16 * 1024 * 1024
 REPLICA_PATH = "/replicas/"
+MAX_VERSION_DIGITS = 20
 OK_STATUS = 200
 NO_CONTENT_STATUS = 204
 NOT_FOUND_STATUS = 404
@@ -122,10 +123,10 @@
         self._answered_at = 0.0
         self._pause = FIRST_PAUSE_SECONDS
         self._retry_at = 0.0
-        self.gossip: gossip.Gossip | None = None
         # Monotonic time from which a kind may be read again whose reading
         # ended with an unexpected error.
         self._retry_kind_at: dict[str, float] = {}
+        self.gossip: gossip.Gossip | None = None
 
     def held(self) -> dict[str, versions.Version]:
         """Returns the store version of each kind that has a replica."""
@@ -189,7 +190,6 @@
             self._retry_at = time.monotonic() + FIRST_PAUSE_SECONDS
         except platform.PlatformError as error:
             self._record_failure(kind, error)
-        finally:
         except Exception as error:  # Must not end the following of the kind.
             self._metrics.incr("internal_error")
             self._events.write_state(
@@ -198,6 +198,7 @@
             # What was not applied is listed again.
             self._expired.add(kind)
             self._retry_kind_at[kind] = time.monotonic() + LONGEST_PAUSE_SECONDS
+        finally:
             self._reading.discard(kind)
 
     async def _read_once(self, replica: replicas.Replica) -> None:
@@ -427,6 +428,9 @@
     fields = parse.parse_qs(query)
     era = fields.get("era", ["0"])[0]
     revision = fields.get("since", [""])[0]
-    if not (era.isdecimal() and revision.isdecimal()):
+    if not all(
+        field.isdecimal() and len(field) <= MAX_VERSION_DIGITS
+        for field in (era, revision)
+    ):
         return None
     return versions.Version(int(era), int(revision))
--- a/libs/direct/tests/test_quarantine.py
+++ b/libs/direct/tests/test_quarantine.py
@@ -9,6 +9,7 @@
 import banyandale_core as core
 from banyandale_direct import _configuration as configuration
 from banyandale_direct import _crash_records as crash_records
+from banyandale_direct import _digests as digests
 from banyandale_direct import _members as members
 from banyandale_direct import _placement as placement
 from banyandale_direct import _protocols as protocols
@@ -16,6 +17,7 @@
 from banyandale_direct import _registry as registry
 from banyandale_direct import _versions as versions
 import banyandale_http as http
+import banyandale_platform as platform
 
 CALL = protocols.Call(
     id="1",
@@ -249,3 +251,56 @@
         assert world.suspicion() is (SUSPECT if ended else NONE)
 
     run_world(scenario, ended=ended)
+
+
+def test_a_stored_record_is_kept_no_longer_than_others(monkeypatch):
+    """Guards against an expiry that cannot be told to other gateways.
+
+    Gateways tell it in milliseconds of 32 bits.
+    """
+    monkeypatch.setattr(core, "boot_seconds", lambda: 100.0)
+
+    class Documents:
+        def read_crash_record(self, stored, *, unix_offset):
+            return crash_records.CrashRecord(
+                fingerprint=b"f" * 16,
+                crashes=(
+                    crash_records.Crash(
+                        server_id="i",
+                        started_unix_ms=1,
+                        broke_at=-1e11,
+                        order=0,
+                    ),
+                ),
+                expires_at=1e11,
+            )
+
+    world = World("127.0.0.1:1")
+    world.quarantine._documents = Documents()
+    stored = platform.StoredObject(
+        kind="crashes", name="n", version=1, value=b"{}"
+    )
+    world.quarantine._apply_listing(
+        platform.Listing(version=1, objects=(stored,))
+    )
+    (record,) = world.crashes.records()
+    assert record.expires_at == 100.0 + crash_records.KEEP_SECONDS
+    digest = digests.Digest(
+        sender="10.0.0.1",
+        reading=True,
+        members=members.MemberBlock.from_members([], zones=("a",)),
+        held={},
+        crashes=(record,),
+    )
+    read = digests.decode_digest(digests.encode_digest(digest), zones=("a",))
+    assert len(read.crashes) == 1
+
+
+def test_a_lease_of_many_digits_is_refused():
+    """Guards against a request of another gateway that ends its connection."""
+    world = World("127.0.0.1:1")
+    request = http.Request(
+        method=b"POST",
+        target=f"{quarantine.TRIAL_PATH}{'ab' * 16}/h/{'7' * 400}".encode(),
+    )
+    assert world.quarantine.serve(request).status == 404
--- a/libs/direct/tests/test_replication.py
+++ b/libs/direct/tests/test_replication.py
@@ -4,10 +4,12 @@
 import time
 
 import curio
+import pytest
 
 import banyandale_core as core
 from banyandale_direct import _members as members
 from banyandale_direct import _replication as replication
+import banyandale_http as http
 from banyandale_platform import testing
 
 
@@ -111,3 +113,16 @@
         await running.cancel()
 
     curio.run(main)
+
+
+@pytest.mark.parametrize("digits", [21, 400, 5000])
+def test_a_version_of_many_digits_is_none(digits):
+    """Guards against a request of another gateway that ends its connection."""
+
+    async def main():
+        replicator, _ = make_replicator(testing.MemoryStore(), lambda _: None)
+        target = f"/replicas/servers?era=0&since={'7' * digits}"
+        request = http.Request(method=b"GET", target=target.encode())
+        assert replicator.serve_delta(request).status == 204
+
+    curio.run(main)
