adapter: an object changed while it is listed keeps its value

Found by reading, not seen. The revision now counts as that of the response, and the watch that follows brings the change.

--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -228,6 +228,30 @@
     run(scenario)
 
 
+def test_a_revision_beyond_that_of_the_store_hides_no_later_change():
+    """Guards against an object whose later changes and deletion are ignored.
+
+    Also guards against losing one that was changed while it was listed.
+    """
+
+    async def scenario(store, client):
+        await put_around(store, b'{"specification": 3}')
+        key = ("k", odd_entries.NAME)
+        store.odd_metadata[key] = b'{"name": "another-writer", "revision": %d}'
+        store.odd_metadata[key] %= 2**62
+        before = await client.list(kind="k")
+        listed = {stored.name: stored for stored in before.objects}
+        found = listed[odd_entries.NAME]
+        assert found.value == b'{"specification": 3}'
+        assert found.version == before.version
+        del store.odd_metadata[key]
+        await store.delete("k", odd_entries.NAME)
+        (change,) = (await watch(client, before.version)).changes
+        assert change.type is platform.ChangeType.DELETE
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("odd", odd_entries.NO_NAME)
 def test_an_object_without_a_readable_name_leaves_the_others(odd):
     """Guards against a name that ends the reading of all objects."""
