direct, adapter: an odd settings file neither ends nor holds up a gateway

Cause: the reload caught ValueError only, and tomllib raises RecursionError for nesting, which ended the main task. tomllib takes 1.8 s for the long key here, in the event loop, and rejected settings were read again every second.

SIGTERM is handled while a reload runs.

--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -27,6 +27,7 @@
 from banyandale_direct import _quarantine as quarantine
 from banyandale_direct import _registration as registration
 from banyandale_direct import _registry as registry
+from banyandale_direct import _rejections as rejections
 from banyandale_direct import _replication as replication
 from banyandale_direct import _senders as senders
 from banyandale_direct import _server_health as server_health
@@ -70,6 +71,7 @@
         # What the gateway waited for in the last line about it.
         self._reported_missing: list[str] | None = None
         self._settings = adapter.read_settings()
+        self._reloading = curio.Lock()
         loaded = self._settings
         events.identify(node=loaded.node)
         self._table = members.MemberTable(
@@ -245,7 +247,7 @@
             while True:
                 number = await signals.receive()
                 if number == signal.SIGHUP:
-                    self._reload("SIGHUP")
+                    await self._spawn("reload", self._reload, "SIGHUP")
                     continue
                 break
             await self._stop(number)
@@ -373,7 +375,8 @@
     async def _run_housekeeping(self) -> None:
         while True:
             await curio.sleep(HOUSEKEEPING_SECONDS)
-            self._reload("file")
+            if self._adapter.has_new_settings():
+                await self._reload("file")
             self._report_readiness()
             self._events.flush()
             self._store_updates.expire_kept_zones()
@@ -390,14 +393,22 @@
                 {member.ip for member in self._table.known()}
             )
 
-    def _reload(self, cause: str) -> None:
+    async def _reload(self, cause: str) -> None:
         """Applies settings that may change while the process runs."""
+        async with self._reloading:
+            await self._apply_settings(cause)
+
+    async def _apply_settings(self, cause: str) -> None:
         try:
-            loaded = self._adapter.read_settings()
-        except ValueError as error:
+            # Parsing an odd file can take seconds.
+            loaded = await curio.run_in_thread(self._adapter.read_settings)
+        except Exception as error:  # Must not end the process.
             self._metrics.incr("reload:rejected")
             self._events.write(
-                "reload", cause=cause, outcome="rejected", error=str(error)
+                "reload",
+                cause=cause,
+                outcome="rejected",
+                error=str(error)[: rejections.MAX_REASON_LENGTH],
             )
             return
         if loaded == self._settings and cause == "file":
--- a/libs/direct/src/banyandale_direct/_protocols.py
+++ b/libs/direct/src/banyandale_direct/_protocols.py
@@ -206,8 +206,11 @@
     servers: ServerCodec
     documents: StoreCodec
 
+    def has_new_settings(self) -> bool:
+        """Whether the settings may have changed since they were read."""
+
     def read_settings(self) -> settings.Settings:
-        """Reads the current settings.
+        """Reads the current settings; called in a thread while calls run.
 
         Raises:
             ValueError: The settings are invalid.
--- a/tests/adapter/test_planned_stops.py
+++ b/tests/adapter/test_planned_stops.py
@@ -486,6 +486,9 @@
         assert len(schedule.calls) == 3 * len(ips)
         for ip in ips:
             assert deployment.processes[ip].poll() is None
+            await deployments.wait_until(
+                lambda ip=ip: deployment.read_events(ip, "reload")
+            )
             outcomes = deployment.read_events(ip, "reload")
             assert {event["outcome"] for event in outcomes} == {"rejected"}
 
