tests: a stop that is noticed late cuts calls (known red)

A process that is suspended for 1 s while SIGTERM arrives counts its deadlines from when it handles the signal. Calls sent 4.1, 4.2 and 4.3 s after SIGTERM, over contactS after the suspension, are accepted for 2.2 s and end with SIGKILL.

--- /dev/null
+++ b/tests/adapter/test_stop_review.py
@@ -0,0 +1,62 @@
+"""Tests of stops that are noticed late, and of connections that end in them."""
+
+import signal
+import time
+
+import callers
+import curio
+import deployments
+import test_planned_stops as planned
+
+RULES = [
+    *planned.RULES,
+    ("/long/", "idempotent", "s", {"timeoutS": 9.0}),
+    ("/wait/", "non_idempotent", "s", {"timeoutS": 9.0}),
+]
+SUSPENDED_SECONDS = 1.0
+# Calls that are sent this long after a suspension count again.
+CONTACT_SECONDS = 3.0
+# A call that a stop cuts must be sent no later than this after SIGTERM.
+LAST_CUT_CALL_SECONDS = 3.0
+
+
+async def kill_if_alive(deployment, ip, stopped_at):
+    """Does what the platform does at the end of the grace time."""
+    process = deployment.processes[ip]
+    killed_at = stopped_at + deployment.grace_seconds
+    await curio.sleep(killed_at - time.monotonic())
+    if process.poll() is None:
+        process.kill()
+
+
+def test_a_stop_that_is_noticed_late_cuts_no_call(tmp_path):
+    """Guards against deadlines that count from when SIGTERM is handled."""
+
+    async def scenario(deployment, ip):
+        for server in deployment.servers:
+            server.find_work = planned.find_work
+        await planned.warm_up(ip, "order")
+        process = deployment.processes[ip]
+        process.send_signal(signal.SIGSTOP)
+        stopped_at = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        schedule = planned.Schedule(stopped_at)
+        await schedule.add(
+            SUSPENDED_SECONDS, planned.send_signal, process, signal.SIGCONT
+        )
+        first = SUSPENDED_SECONDS + CONTACT_SECONDS + 0.1
+        for seconds in planned.spread(first, planned.LAST_CALL_SECONDS):
+            await schedule.add(
+                seconds,
+                callers.send_one,
+                ip,
+                f"order-{seconds:.2f}",
+                "/order/2.05",
+                deadline_ms=2200,
+            )
+        killer = await curio.spawn(kill_if_alive, deployment, ip, stopped_at)
+        await schedule.finish()
+        await killer.join()
+        assert planned.find_faults(deployment, schedule.calls, stopped_at) == []
+
+    deployments.run(tmp_path, scenario, rules=RULES)
