tests: a call behind an open one is passed on late in a stop (known red)

The limit of a call that is sent late in a stop fits, but its answer waits for that of an earlier call on the connection, which was accepted before SIGTERM and outlasts the process.

--- a/tests/adapter/test_stop_review.py
+++ b/tests/adapter/test_stop_review.py
@@ -60,3 +60,27 @@
         assert planned.find_faults(deployment, schedule.calls, stopped_at) == []
 
     deployments.run(tmp_path, scenario, rules=RULES)
+
+
+def test_a_call_behind_an_open_one_is_not_passed_on_late_in_a_stop(tmp_path):
+    """Guards against an answer that waits for an earlier one until the exit."""
+
+    async def scenario(deployment, ip):
+        for server in deployment.servers:
+            server.find_work = planned.find_work
+        await planned.warm_up(ip, "long", "check")
+        stopped_at = time.monotonic() + 0.3
+        connection = await callers.Connection.open(ip)
+        stopping = await curio.spawn(planned.stop, deployment, ip, stopped_at)
+        calls = await connection.exchange_all(
+            [
+                ("check-long", "/long/8.0", {"deadline_ms": 9000}),
+                ("check", "/check/0.1", {"deadline_ms": 1500}),
+            ],
+            gap_seconds=0.3 + LAST_CUT_CALL_SECONDS + 0.5,
+        )
+        await stopping.join()
+        late = [call for call in calls if call.name == "check"]
+        assert planned.find_faults(deployment, late, stopped_at) == []
+
+    deployments.run(tmp_path, scenario, rules=RULES)
