tests: calls that wait at the exit get no answer (known red)

Calls that were accepted before SIGTERM, or by an estimate up to 3 s after it, wait for a server until the connection is closed. No server ran them, so nothing excuses the missing 503.

--- a/tests/adapter/test_stop_review.py
+++ b/tests/adapter/test_stop_review.py
@@ -6,6 +6,7 @@
 import callers
 import curio
 import deployments
+import standin
 import test_planned_stops as planned
 
 RULES = [
@@ -84,3 +85,39 @@
         assert planned.find_faults(deployment, late, stopped_at) == []
 
     deployments.run(tmp_path, scenario, rules=RULES)
+
+
+def test_a_call_that_waits_when_a_gateway_exits_is_refused(tmp_path):
+    """Guards against calls that end without an answer though none ran.
+
+    They are read before SIGTERM and while calls are taken by an estimate.
+    """
+
+    async def scenario(deployment, ip):
+        for server in deployment.servers:
+            server.find_work = planned.find_work
+        document = standin.make_configuration(2, RULES)
+        for rule in document["specification"]["listeners"][0]["rules"]:
+            rule["targetLatencyS"] = 8.0
+        await deployment.store.put("config", "main", document)
+        await curio.sleep(0.5)
+        await planned.warm_up(ip, "wait")
+        for server in deployment.servers:
+            server.load = "2,0,2,100"
+        schedule = planned.Schedule(stopped_at := time.monotonic() + 0.5)
+        stopping = await curio.spawn(planned.stop, deployment, ip, stopped_at)
+        for seconds in (-0.3, 1.5, 2.5, 2.9):
+            await schedule.add(
+                seconds,
+                callers.send_one,
+                ip,
+                f"wait-{seconds}",
+                "/wait/0.3",
+                deadline_ms=9000,
+            )
+        await schedule.finish()
+        await stopping.join()
+        assert planned.find_faults(deployment, schedule.calls, stopped_at) == []
+        assert [call.status for call in schedule.calls] == [503] * 4
+
+    deployments.run(tmp_path, scenario, rules=RULES)
