tests: a request that crosses the half-close is logged as a fault (known red)

A head with Expect: 100-continue that ends after that makes the reader send the interim response, and CallerGoneError leaves the conversation as an internal error.

--- a/tests/adapter/test_stop_review.py
+++ b/tests/adapter/test_stop_review.py
@@ -1,6 +1,7 @@
 """Tests of stops that are noticed late, and of connections that end in them."""
 
 import signal
+import socket
 import time
 
 import callers
@@ -9,6 +10,8 @@
 import standin
 import test_planned_stops as planned
 
+from banyandale_direct import _stops as stops
+
 RULES = [
     *planned.RULES,
     ("/long/", "idempotent", "s", {"timeoutS": 9.0}),
@@ -19,6 +22,10 @@
 CONTACT_SECONDS = 3.0
 # A call that a stop cuts must be sent no later than this after SIGTERM.
 LAST_CUT_CALL_SECONDS = 3.0
+HALF_HEAD = (
+    b"POST /long/0.1 HTTP/1.1\r\nhost: h.example\r\n"
+    b"x-request-id: half\r\ncontent-length: 1\r\n"
+)
 
 
 async def kill_if_alive(deployment, ip, stopped_at):
@@ -121,3 +128,26 @@
         assert [call.status for call in schedule.calls] == [503] * 4
 
     deployments.run(tmp_path, scenario, rules=RULES)
+
+
+def test_a_request_that_crosses_the_end_of_its_connection_is_no_fault(tmp_path):
+    """Guards against an interim response after the connection has ended."""
+
+    async def scenario(deployment, ip):
+        for server in deployment.servers:
+            server.find_work = planned.find_work
+        await planned.warm_up(ip, "long")
+        stopped_at = time.monotonic() + 0.3
+        stopping = await curio.spawn(planned.stop, deployment, ip, stopped_at)
+        ended_at = deployments.GRACE_SECONDS * stops.SERVING_FRACTION
+        await curio.sleep(stopped_at + ended_at - 0.2 - time.monotonic())
+        sock = socket.create_connection((ip, deployments.CALL_PORT))
+        # Is being sent when the gateway ends its connections.
+        sock.sendall(HALF_HEAD)
+        await curio.sleep(stopped_at + ended_at + 0.08 - time.monotonic())
+        sock.sendall(b"expect: 100-continue\r\n\r\n")
+        await stopping.join()
+        sock.close()
+        assert deployment.read_events(ip, "fault") == []
+
+    deployments.run(tmp_path, scenario, rules=RULES)
