tests: long grace times take calls by an estimate for too long (known red)

RULES.md excuses a call that a stop cuts only if it was sent no later than 3 s after SIGTERM. The plan takes calls by an estimate for half of the grace time, which is the same for 6 s but not for longer ones.

--- a/tests/adapter/test_stop_review.py
+++ b/tests/adapter/test_stop_review.py
@@ -7,6 +7,7 @@
 import callers
 import curio
 import deployments
+import pytest
 import standin
 import test_planned_stops as planned
 
@@ -151,3 +152,20 @@
         assert deployment.read_events(ip, "fault") == []
 
     deployments.run(tmp_path, scenario, rules=RULES)
+
+
+@pytest.mark.parametrize("grace_seconds", [2.0, 6.0, 10.0, 30.0])
+def test_calls_are_taken_by_an_estimate_only_while_they_may_be_cut(
+    grace_seconds,
+):
+    """Guards against a late cut where the grace time is long."""
+    plan = stops.StopPlan(signalled_at=0.0, grace_seconds=grace_seconds)
+    now = LAST_CUT_CALL_SECONDS + 0.01
+    while now < grace_seconds:
+        assert not plan.accepts_call(
+            now=now,
+            deadline=grace_seconds,
+            estimate_seconds=0.1,
+            repeatable=True,
+        )
+        now += 0.1
