direct: read no call behind an open one while stopping

Change: at SIGTERM the reading of a connection with open calls ends. What its caller has sent behind them is unread, and the answer to the last of them says that the connection closes.

--- a/libs/direct/src/banyandale_direct/_calls.py
+++ b/libs/direct/src/banyandale_direct/_calls.py
@@ -119,6 +119,15 @@
             self._conversations.discard(conversation)
             self.open_connections -= 1
 
+    async def stop_reading(self) -> None:
+        """Reads no further calls where earlier ones of the caller are open.
+
+        Their answers would have to wait for the earlier ones, which may last
+        until the process ends.
+        """
+        for conversation in tuple(self._conversations):
+            await conversation.stop_reading()
+
     async def reject_waiting(self) -> None:
         """Rejects the calls that are at no server, because the process ends."""
         for conversation in tuple(self._conversations):
@@ -334,6 +343,10 @@
         )
 
 
+class _ReadingStoppedError(curio.CancelledError):
+    """Reading was cancelled, but not the calls that were read."""
+
+
 class _Conversation:
     """One connection: a task reads the calls, and one serves each of them."""
 
@@ -354,13 +367,14 @@
         self._tasks: set[curio.Task] = set()
         # Whether no answer can be sent any more.
         self._broken = False
+        # The task that reads, while it does.
+        self._reader: curio.Task | None = None
 
     async def run(self) -> None:
         """Serves the connection until it ends."""
         completed = False
         try:
-            while await self._read_next():
-                pass
+            await self._read_calls()
             if self._connection.caller_left:
                 await self._abandon()
             elif self._pipeline.newest is not None:
@@ -373,6 +387,23 @@
             # must not wait for callers.
             await self._connection.close(linger=completed)
 
+    async def _read_calls(self) -> None:
+        try:
+            while await self._read_next():
+                pass
+        except _ReadingStoppedError:
+            return
+        # One that came after the last read must not cancel anything else.
+        await curio.check_cancellation(_ReadingStoppedError)
+
+    async def stop_reading(self) -> None:
+        """Ends the connection with the answer to the last call, if any."""
+        if len(self._pipeline) == 0:
+            return
+        self._connection.close_after_response()
+        if self._reader is not None:
+            await self._reader.cancel(exc=_ReadingStoppedError, blocking=False)
+
     async def end(self) -> None:
         """Ends the connection, after the answers to calls that were read."""
         if len(self._pipeline) == 0:
@@ -397,6 +428,7 @@
         if self._broken:
             return False
         limits = self._server.limits()
+        self._reader = await curio.current_task()
         try:
             request = await self._connection.read_request(
                 limit=limits.body_bytes,
@@ -407,6 +439,8 @@
             slot = self._pipeline.add(repeatable=True)
             await self._spawn(self._reject_malformed, slot, error)
             return False
+        finally:
+            self._reader = None
         if request is None:
             return self._is_in_use(limits.idle_seconds)
         read = self._server.read_call(
--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -438,6 +438,7 @@
         self._events.write_state(
             "stop", signal=number.name, open_calls=self._calls.open_calls
         )
+        await self._calls.stop_reading()
         await self._gossip.send_round()
         await self._wait_for_calls(plan, until=plan.answer_by)
         await self._calls.reject_waiting()
