direct: count a stop from when SIGTERM may have been sent

Change: if the process had given no sign of life (a gossip round, every 0.5 s) for 0.7 s, the stop counts from the last one. During the stop the deadlines move ahead by the time of a suspension of the VM, which the monotonic clock does not count. A suspension that is shorter than 0.7 s is not noticed.

--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -430,19 +430,27 @@
         )
 
     async def _stop(self, number: signal.Signals) -> None:
-        now = time.monotonic()
         plan = stops.StopPlan(
-            signalled_at=now, grace_seconds=self._settings.grace_seconds
+            signalled_at=stops.find_signal_time(
+                now=time.monotonic(),
+                boot_now=core.boot_seconds(),
+                last_sign_at=self._gossip.round_at,
+            ),
+            boot_offset=core.boot_seconds() - time.monotonic(),
+            grace_seconds=self._settings.grace_seconds,
         )
         self._shared.stop = plan
         self._events.write_state(
-            "stop", signal=number.name, open_calls=self._calls.open_calls
+            "stop",
+            signal=number.name,
+            open_calls=self._calls.open_calls,
+            exit_seconds=round(plan.exit_at - time.monotonic(), 3),
         )
         await self._calls.stop_reading()
         await self._gossip.send_round()
-        await self._wait_for_calls(plan, until=plan.answer_by)
+        await self._wait_for_calls(plan, until=lambda: plan.answer_by)
         await self._calls.reject_waiting()
-        await self._wait_for_calls(plan, until=plan.close_at)
+        await self._wait_for_calls(plan, until=lambda: plan.close_at)
         await self._calls.close(deadline=plan.exit_at)
         self._events.write_state(
             "end",
@@ -452,10 +460,11 @@
         self._events.flush()
 
     async def _wait_for_calls(
-        self, plan: stops.StopPlan, *, until: float
+        self, plan: stops.StopPlan, *, until: Callable[[], float]
     ) -> None:
         """Waits until no call is open and callers have had time to leave."""
-        while (now := time.monotonic()) < until:
+        while (now := time.monotonic()) < until():
             if now >= plan.serve_until and self._calls.open_calls == 0:
                 return
             await curio.sleep(stops.CHECK_SECONDS)
+            plan.follow(now=time.monotonic(), boot_now=core.boot_seconds())
--- a/libs/direct/src/banyandale_direct/_gossip.py
+++ b/libs/direct/src/banyandale_direct/_gossip.py
@@ -89,6 +89,8 @@
         self._election = election
         self._limits = limits
         self._crashes = crashes
+        # Start of the last round, in seconds since the VM started.
+        self.round_at = core.boot_seconds()
         self._events = events
         self._metrics = metrics
         self._live: frozenset[str] = frozenset()
@@ -184,6 +186,7 @@
     async def send_round(self) -> None:
         """Sends one digest to a few gateways."""
         now = time.monotonic()
+        self.round_at = core.boot_seconds()
         self._table.advance(ready=self._is_ready())
         targets = self._table.draw_targets(now=now)
         if self._table.is_alone(now=now):
--- a/libs/direct/src/banyandale_direct/_stops.py
+++ b/libs/direct/src/banyandale_direct/_stops.py
@@ -25,6 +25,30 @@
 CLOSE_SECONDS = CLOSE_MARGIN_SECONDS - EXIT_MARGIN_SECONDS
 # Interval at which a stopping gateway checks for open calls and connections.
 CHECK_SECONDS = 0.02
+# A process without a sign of life for longer was suspended or held up.
+MAX_SILENT_SECONDS = 0.7
+
+
+def find_signal_time(
+    *, now: float, boot_now: float, last_sign_at: float
+) -> float:
+    """Returns when the signal may have been sent at the earliest.
+
+    A process that is suspended handles a signal only once it runs again.
+
+    Args:
+        now: Monotonic seconds.
+        boot_now: The same time in seconds since the VM started.
+        last_sign_at: Last time at which the process is known to have run, in
+            seconds since the VM started.
+
+    Returns:
+        Monotonic seconds; `now` unless the process was suspended.
+    """
+    silent_seconds = boot_now - last_sign_at
+    if silent_seconds <= MAX_SILENT_SECONDS:
+        return now
+    return now - silent_seconds
 
 
 class StopPlan:
@@ -38,8 +62,22 @@
         exit_at: When the process exits, also with open connections.
     """
 
-    def __init__(self, *, signalled_at: float, grace_seconds: float) -> None:
+    def __init__(
+        self,
+        *,
+        signalled_at: float,
+        grace_seconds: float,
+        boot_offset: float = 0.0,
+    ) -> None:
+        """Creates a plan.
+
+        Args:
+            signalled_at: Monotonic seconds when SIGTERM was sent.
+            grace_seconds: Time from SIGTERM to SIGKILL.
+            boot_offset: Seconds since the VM started less monotonic seconds.
+        """
         killed_at = signalled_at + grace_seconds
+        self._boot_offset = boot_offset
         self.signalled_at = signalled_at
         self.serve_until = signalled_at + grace_seconds * SERVING_FRACTION
         self.answer_by = killed_at - ANSWER_MARGIN_SECONDS
@@ -49,6 +87,22 @@
             signalled_at + grace_seconds * ESTIMATING_FRACTION
         )
 
+    def follow(self, *, now: float, boot_now: float) -> None:
+        """Moves the deadlines ahead by the time of a suspension.
+
+        Args:
+            now: Monotonic seconds, which do not count a suspension of the VM.
+            boot_now: The same time in seconds since the VM started, which do.
+        """
+        suspended_seconds = boot_now - now - self._boot_offset
+        self._boot_offset += suspended_seconds
+        self.signalled_at -= suspended_seconds
+        self.serve_until -= suspended_seconds
+        self.answer_by -= suspended_seconds
+        self.close_at -= suspended_seconds
+        self.exit_at -= suspended_seconds
+        self._estimate_until -= suspended_seconds
+
     def accepts_call(
         self,
         *,
--- a/libs/direct/tests/test_stops.py
+++ b/libs/direct/tests/test_stops.py
@@ -54,3 +54,30 @@
     assert accepts(3.0, limit=3.0, estimate=0.7, repeatable=True)
     assert not accepts(3.0, limit=3.0, estimate=0.7)
     assert accepts(3.0, limit=3.0, estimate=0.3)
+
+
+def test_a_signal_counts_from_when_it_may_have_been_sent():
+    """Guards against a grace time that starts when a suspension ends."""
+    assert (
+        stops.find_signal_time(now=10.0, boot_now=110.0, last_sign_at=109.5)
+        == 10.0
+    )
+    assert (
+        stops.find_signal_time(now=10.0, boot_now=110.0, last_sign_at=108.5)
+        == 8.5
+    )
+
+
+def test_a_suspension_during_a_stop_shortens_it():
+    """Guards against deadlines on a clock that stands still meanwhile."""
+    plan = stops.StopPlan(
+        signalled_at=0.0, grace_seconds=GRACE, boot_offset=100.0
+    )
+    plan.follow(now=1.0, boot_now=101.0)
+    assert plan.exit_at == GRACE - stops.EXIT_MARGIN_SECONDS
+    plan.follow(now=1.5, boot_now=103.5)
+    plan.follow(now=2.0, boot_now=104.0)
+    assert plan.exit_at == GRACE - stops.EXIT_MARGIN_SECONDS - 2.0
+    assert not plan.accepts_call(
+        now=2.0, deadline=3.6, estimate_seconds=0.3, repeatable=True
+    )
