direct: estimates for 3 s of a stop at most; margins for short grace times

With graceS 10 or 30 a call was taken by its route's average up to 5 or 15 s after SIGTERM, while a cut is excused only for calls sent up to 3 s after it. With graceS 1 the last answer was due before calls stopped being taken.

Before: test_calls_are_taken_by_an_estimate_only_while_they_may_be_cut failed for 10 and 30 s; the order of the deadlines was wrong for 0.5 and 1 s (new test).

--- a/libs/direct/src/banyandale_direct/_stops.py
+++ b/libs/direct/src/banyandale_direct/_stops.py
@@ -10,17 +10,21 @@
 # use the address of a stopping gateway.
 SERVING_FRACTION = 0.75
 # Fraction in which a call whose limit is after the exit is accepted if its
-# route's calls end in time on average; later, nearly all callers have left.
+# route's calls end in time on average, and the longest such time; later, nearly
+# all callers have left.
 ESTIMATING_FRACTION = 0.5
+MAX_ESTIMATING_SECONDS = 3.0
 # Multiples of the average work for which there must be time then. A call that
 # must not be repeated cannot be retried once it was cut.
 REPEATABLE_ESTIMATES = 2
 UNREPEATABLE_ESTIMATES = 4
 # Before SIGKILL: the last answer is ready; the connections are closed; the
-# process exits, whatever is in flight.
+# process exits, whatever is in flight. They shrink with a grace time below
+# `FULL_MARGIN_GRACE_SECONDS`.
 ANSWER_MARGIN_SECONDS = 0.5
 CLOSE_MARGIN_SECONDS = 0.35
 EXIT_MARGIN_SECONDS = 0.2
+FULL_MARGIN_GRACE_SECONDS = 2.0
 # Longest wait for callers that have all answers to close their side.
 CLOSE_SECONDS = CLOSE_MARGIN_SECONDS - EXIT_MARGIN_SECONDS
 # Interval at which a stopping gateway checks for open calls and connections.
@@ -77,14 +81,15 @@
             boot_offset: Seconds since the VM started less monotonic seconds.
         """
         killed_at = signalled_at + grace_seconds
+        margin = min(grace_seconds / FULL_MARGIN_GRACE_SECONDS, 1.0)
         self._boot_offset = boot_offset
         self.signalled_at = signalled_at
         self.serve_until = signalled_at + grace_seconds * SERVING_FRACTION
-        self.answer_by = killed_at - ANSWER_MARGIN_SECONDS
-        self.close_at = killed_at - CLOSE_MARGIN_SECONDS
-        self.exit_at = killed_at - EXIT_MARGIN_SECONDS
-        self._estimate_until = (
-            signalled_at + grace_seconds * ESTIMATING_FRACTION
+        self.answer_by = killed_at - ANSWER_MARGIN_SECONDS * margin
+        self.close_at = killed_at - CLOSE_MARGIN_SECONDS * margin
+        self.exit_at = killed_at - EXIT_MARGIN_SECONDS * margin
+        self._estimate_until = signalled_at + min(
+            grace_seconds * ESTIMATING_FRACTION, MAX_ESTIMATING_SECONDS
         )
 
     def follow(self, *, now: float, boot_now: float) -> None:
--- a/libs/direct/tests/test_stops.py
+++ b/libs/direct/tests/test_stops.py
@@ -81,3 +81,11 @@
     assert not plan.accepts_call(
         now=2.0, deadline=3.6, estimate_seconds=0.3, repeatable=True
     )
+
+
+def test_short_grace_times_keep_the_order_of_the_deadlines():
+    """Guards against an exit before calls that were taken are answered."""
+    for grace in (0.5, 1.0, 2.0, 6.0, 30.0):
+        plan = stops.StopPlan(signalled_at=0.0, grace_seconds=grace)
+        assert plan.answer_by < plan.close_at < plan.exit_at < grace
+        assert plan.serve_until <= plan.answer_by
