--- a/libs/http/src/banyandale_http/_server.py
+++ b/libs/http/src/banyandale_http/_server.py
@@ -32,6 +32,9 @@
 # delivered, up to the timeout of sending. Closing a socket with unread bytes
 # resets the connection, and the caller then loses the rest of the response.
 LINGER_SECONDS = 1.0
+# Pause between these reads, so that a caller that sends without end takes
+# little time from the others.
+LINGER_PAUSE_SECONDS = 0.01
 
 
 class ServerConnection:
@@ -459,7 +462,7 @@
         try:
             async with core.timeout_at(deadline):
                 while await self._sock.recv(RECEIVE_BYTES):
-                    pass
+                    await curio.sleep(LINGER_PAUSE_SECONDS)
         except curio.TaskTimeout:
             return False
         return True
