http: an interim response waits for the bytes of earlier responses

Cause: a request leaves `_unanswered` when the end of its response is encoded, before its bytes are written. The reader, which polled until `_unanswered` was empty, then wrote `100` while another task was still in `sendall`. If both had to wait, curio raised WriteResourceBusy. The reader also polled for good behind a connection that had broken, since nothing empties `_unanswered` then, and wrote to a connection that was half-closed already.

Ruled out: two responses that overlap; each waits for `answered` of the one before, which is set after its bytes were sent.

Change: the interim response waits for an event instead of polling, until no request is unanswered and no bytes are being written. It is not sent after the half-close, after a failed write or after `shut_down`; the head is dropped then.

Tests before: curio.errors.WriteResourceBusy: Multiple tasks can't wait to write on the same file descriptor (test_an_interim_response_waits_for_the_bytes_of_earlier_responses) TaskTimeout after 1 s in test_no_interim_response_follows_the_end_of_the_connection[end] and [shut_down] CallerGoneError: [Errno 32] Broken pipe (test_a_head_that_crosses_the_end_gets_no_interim_response)

--- a/libs/http/src/banyandale_http/_server.py
+++ b/libs/http/src/banyandale_http/_server.py
@@ -23,10 +23,8 @@
 # Longest wait for more data of a request that has begun. `read_request` has
 # deadlines besides.
 RECEIVE_TIMEOUT_SECONDS = 5.0
-# Interval of checks whether a caller with unread bytes has disconnected, and
-# whether a pipelined request may be told to continue.
+# Interval of checks whether a caller with unread bytes has disconnected.
 PIPELINE_POLL_SECONDS = 0.2
-CONTINUE_POLL_SECONDS = 0.01
 # After a response that ends the connection, what the caller still sends is
 # read and dropped for this time, and on while parts of the response are not
 # delivered, up to the timeout of sending. Closing a socket with unread bytes
@@ -79,6 +77,12 @@
         self._closing = False
         self._is_final = False
         self._ended = False
+        # Whether bytes of a response are being sent, and whether nothing can
+        # be sent any more.
+        self._writing = False
+        self._broken = False
+        # Set when an interim response that waits for its turn may be due.
+        self._progress: curio.Event | None = None
         self.used_at = self._received_at
         self.arrived_at = self._received_at
         self.caller_left = False
@@ -113,6 +117,7 @@
             MalformedRequestError: The request is not valid HTTP.
             RequestTooLargeError: The body is larger than `limit`.
             RequestTimeoutError: The head or the body took too long.
+            CallerGoneError: An interim response could not be sent.
         """
         if not self._prepare_for_next_request():
             return None
@@ -221,9 +226,9 @@
         chunks = []
         size = 0
         if self._http.they_are_waiting_for_100_continue:
-            # Responses to earlier requests go first.
-            while self._unanswered:
-                await curio.sleep(CONTINUE_POLL_SECONDS)
+            await self._wait_for_earlier_responses()
+            if self._ended or self._broken:
+                return None
             event = h11.InformationalResponse(status_code=100, headers=[])
             await self._send_bytes(self._http.send(event) or b"")
         while isinstance(event := await self._next_event(), h11.Data):
@@ -240,6 +245,19 @@
             body=b"".join(chunks),
         )
 
+    async def _wait_for_earlier_responses(self) -> None:
+        """Returns once all are written whole or the connection has ended."""
+        while (self._unanswered or self._writing) and not (
+            self._ended or self._broken
+        ):
+            self._progress = curio.Event()
+            await self._progress.wait()
+        self._progress = None
+
+    async def _note_progress(self) -> None:
+        if self._progress is not None:
+            await self._progress.set()
+
     async def _next_event(self) -> h11.Event:
         while (event := self._http.next_event()) is h11.NEED_DATA:
             self._receive_data(await self._receive())
@@ -381,6 +399,7 @@
             await self.end()
 
     async def _send_bytes(self, data: bytes) -> None:
+        self._writing = True
         try:
             count = sockets.send_nonblocking(self._sock, data)
             if count < len(data):
@@ -390,12 +409,18 @@
                     await self._sock.sendall(memoryview(data)[count:])
             self.used_at = time.monotonic()
         except (OSError, curio.TaskTimeout) as error:
+            self._broken = True
             raise errors.CallerGoneError(
                 str(error), run=core.RunMark.UNKNOWN
             ) from error
+        finally:
+            self._writing = False
+            await self._note_progress()
 
     async def shut_down(self) -> None:
         """Ends both directions; a task that reads finds the caller gone."""
+        self._broken = True
+        await self._note_progress()
         try:
             await self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
@@ -418,6 +443,7 @@
         A request that crosses the end is read and dropped.
         """
         self._ended = True
+        await self._note_progress()
         try:
             await self._sock.shutdown(socket.SHUT_WR)
         except OSError:
--- a/libs/http/tests/test_own_responses.py
+++ b/libs/http/tests/test_own_responses.py
@@ -1,5 +1,6 @@
 """Tests of matching responses to requests, and of slow callers."""
 
+import socket
 import time
 
 import curio
@@ -9,6 +10,11 @@
 
 MATCHING = b"HTTP/1.1 200 OK\r\nid: a\r\ncontent-length: 2\r\n\r\nok"
 UNMATCHED = b"HTTP/1.1 200 OK\r\nid: z\r\ncontent-length: 5\r\n\r\nstray"
+EXPECTING = (
+    b"POST /b HTTP/1.1\r\nhost: h\r\ncontent-length: 5\r\n"
+    b"expect: 100-continue\r\n\r\n"
+)
+CONTINUE = b"HTTP/1.1 100 \r\n\r\n"
 
 
 async def start_server(reply, *, read_bytes=1):
@@ -261,3 +267,65 @@
         assert connection.is_reusable
 
     serve_caller(use)
+
+
+def test_an_interim_response_waits_for_the_bytes_of_earlier_responses():
+    """Guards against a `100` in the middle of an earlier response's body."""
+
+    async def use(connection, caller):
+        connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 32768)
+        await caller.sendall(b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n" + EXPECTING)
+        assert (await read(connection)).target == b"/a"
+        reading = await curio.spawn(read, connection)
+        body = bytes(range(256)) * 49152
+        sending = await curio.spawn(
+            connection.send_response, http.Response(status=200, body=body)
+        )
+        received = bytearray()
+        while not received.endswith(CONTINUE) or len(received) < len(body):
+            async with curio.timeout_after(2):
+                data = await caller.recv(65536)
+            assert data
+            received += data
+            await curio.sleep(0.001)
+        head, _, rest = received.partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200")
+        assert rest.find(CONTINUE) == len(body)
+        assert rest == body + CONTINUE
+        await caller.sendall(b"small")
+        assert (await reading.join()).body == b"small"
+        await sending.join()
+
+    serve_caller(use)
+
+
+@pytest.mark.parametrize("ended_by", ["end", "shut_down"])
+def test_no_interim_response_follows_the_end_of_the_connection(ended_by):
+    """Guards against a reader that writes to an ended connection or waits."""
+
+    async def use(connection, caller):
+        await caller.sendall(b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n" + EXPECTING)
+        assert (await read(connection)).target == b"/a"
+        reading = await curio.spawn(read, connection)
+        await curio.sleep(0.02)
+        await getattr(connection, ended_by)()
+        async with curio.timeout_after(1):
+            assert await reading.join() is None
+        assert await caller.recv(4096) == b""
+
+    serve_caller(use)
+
+
+def test_a_head_that_crosses_the_end_gets_no_interim_response():
+    """Guards against an error for a caller that did nothing wrong."""
+
+    async def use(connection, caller):
+        reading = await curio.spawn(read, connection)
+        await curio.sleep(0.02)
+        await connection.end()
+        await caller.sendall(EXPECTING)
+        async with curio.timeout_after(1):
+            assert await reading.join() is None
+        assert await caller.recv(4096) == b""
+
+    serve_caller(use)
