direct: a caller that resets before it may continue is no internal fault

The log of a gateway had a line `fault` (and the count `internal_error`) for each caller that sent a head with `Expect: 100-continue` and reset its connection; the log of a real fault would drown in them.

Cause: the reader sends the `100`, and its CallerGoneError passed `_Conversation.run`, which treats it in the tasks of calls only.

Change: `run` treats it as a caller that has left (count `caller_left`): its open calls are abandoned.

--- a/libs/direct/src/banyandale_direct/_calls.py
+++ b/libs/direct/src/banyandale_direct/_calls.py
@@ -374,8 +374,8 @@
         """Serves the connection until it ends."""
         completed = False
         try:
-            await self._read_calls()
-            if self._connection.caller_left:
+            left = not await self._read_calls()
+            if left or self._connection.caller_left:
                 await self._abandon()
             elif self._pipeline.newest is not None:
                 await self._finish_calls(self._pipeline.newest)
@@ -387,14 +387,19 @@
             # must not wait for callers.
             await self._connection.close(linger=completed)
 
-    async def _read_calls(self) -> None:
+    async def _read_calls(self) -> bool:
+        """Reads and starts calls; returns False if the caller has left."""
         try:
             while await self._read_next():
                 pass
+        except http.CallerGoneError:
+            self._shared.metrics.incr("caller_left")
+            return False
         except _ReadingStoppedError:
-            return
+            return True
         # One that came after the last read must not cancel anything else.
         await curio.check_cancellation(_ReadingStoppedError)
+        return True
 
     async def stop_reading(self) -> None:
         """Ends the connection with the answer to the last call, if any."""
--- a/tests/adapter/test_pipelining.py
+++ b/tests/adapter/test_pipelining.py
@@ -1,6 +1,8 @@
 """Tests of callers that send further requests before the first is answered."""
 
 import signal
+import socket
+import struct
 import time
 
 import curio
@@ -10,6 +12,8 @@
 
 import banyandale_http as http
 
+EXPECTS = b"expect: 100-continue\r\n"
+
 
 class PipeliningCaller:
     """A caller that sends bytes as given and reads the responses in order."""
@@ -33,6 +37,22 @@
     async def close(self):
         await self._sock.close()
 
+    async def reset(self):
+        self._sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        await self._sock.close()
+
+    async def read_continue(self):
+        """Reads an interim response behind the last final one."""
+        expected = b"HTTP/1.1 100 \r\n\r\n"
+        data, _ = self._parser.trailing_data
+        self._parser = h11.Connection(our_role=h11.CLIENT)
+        while len(data) < len(expected):
+            async with curio.timeout_after(4):
+                data += await self._sock.recv(len(expected) - len(data))
+        return data == expected
+
     async def read(self):
         """Returns the id and status of the next response; None at the end."""
         parser = h11.Connection(our_role=h11.CLIENT)
@@ -249,3 +269,42 @@
         assert (await deployment.send(ip, "/other/x")).status == 503
 
     deployments.run(tmp_path, scenario)
+
+
+def test_a_caller_that_resets_instead_of_its_body_is_no_fault(tmp_path):
+    """Guards against an internal fault logged for a caller that has left."""
+
+    async def scenario(deployment, ip):
+        head = encode("w", "/write/x", method="POST", extra=EXPECTS).replace(
+            b"content-length: 0", b"content-length: 5"
+        )
+        for _ in range(20):
+            caller = await PipeliningCaller.connect(ip)
+            await caller.send(head)
+            await caller.reset()
+        await curio.sleep(0.2)
+        assert (await deployment.send(ip, "/read/x")).status == 200
+        assert deployment.read_events(ip, "fault") == []
+        assert "w" not in executed(deployment)
+
+    deployments.run(tmp_path, scenario)
+
+
+def test_a_request_that_expects_to_continue_is_served_in_its_turn(tmp_path):
+    """Guards against a request that waits behind answers already sent."""
+
+    async def scenario(deployment, ip):
+        for server in deployment.servers:
+            server.work_seconds = 0.2
+        caller = await PipeliningCaller.connect(ip)
+        head = encode("n1", method="POST", extra=EXPECTS).replace(
+            b"content-length: 0", b"content-length: 5"
+        )
+        await caller.send(encode("n0"), head)
+        assert await caller.read() == (b"n0", 200, False)
+        assert await caller.read_continue()
+        await caller.send(b"small")
+        assert await caller.read() == (b"n1", 200, False)
+        await caller.close()
+
+    deployments.run(tmp_path, scenario)
