http: a body in tiny chunks no longer stops a gateway

Cause: the server side reads event after event from a full buffer, and neither parsing nor a receive whose data is there lets other tasks run.

Ruled out: a cost that grows with the buffer. A chunk costs about 12 us of h11 at 1, 16 and 64 bytes each, with receives of 64 KiB; smaller receives would not help.

Change: `Turns` of the client side moves to a module of its own, and the server side counts its events and receives too: other tasks run after 64. With a plain yield, N such connections made each pass over the tasks N turns long; in a `TurnQueue` they share one turn a pass, one queue for each side. The body is collected in one buffer instead of a list of chunks.

--- a/libs/http/src/banyandale_http/_client.py
+++ b/libs/http/src/banyandale_http/_client.py
@@ -15,6 +15,7 @@
 from banyandale_http import _errors as errors
 from banyandale_http import _messages as messages
 from banyandale_http import _sockets as sockets
+from banyandale_http import _turns as turns
 
 RECEIVE_BYTES = 65536
 MAX_HEAD_BYTES = 65536
@@ -27,9 +28,8 @@
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 # Number of the last keyed requests that a connection remembers.
 RECENT_KEYS = 64
-# Number of events after which the other tasks run. A server that sends chunks
-# of one byte fills a buffer with thousands of events.
-EVENTS_PER_TURN = 64
+# The connections of this side share their turns.
+TURN_QUEUE = turns.TurnQueue()
 
 
 class ClientConnection:
@@ -59,7 +59,7 @@
         self._allow_unframed = False
         # Whether the body of the last response ends with the connection.
         self._ends_with_connection = False
-        self._event_count = 0
+        self._turns = turns.Turns(queue=TURN_QUEUE)
         self._recent_keys: collections.deque[str] = collections.deque(
             maxlen=RECENT_KEYS
         )
@@ -427,11 +427,8 @@
         )
 
     async def _next_event(self, deadline: float) -> h11.Event:
-        self._event_count += 1
-        if self._event_count % EVENTS_PER_TURN == 0:
-            await curio.sleep(0)
-            if time.monotonic() >= deadline:
-                raise self._make_timeout_error()
+        if await self._turns.count() and time.monotonic() >= deadline:
+            raise self._make_timeout_error()
         try:
             while (event := self._http.next_event()) is h11.NEED_DATA:
                 if time.monotonic() >= deadline:
--- a/libs/http/src/banyandale_http/_server.py
+++ b/libs/http/src/banyandale_http/_server.py
@@ -14,6 +14,7 @@
 from banyandale_http import _errors as errors
 from banyandale_http import _messages as messages
 from banyandale_http import _sockets as sockets
+from banyandale_http import _turns as turns
 
 RECEIVE_BYTES = 65536
 MAX_HEAD_BYTES = 65536
@@ -33,6 +34,8 @@
 # Pause between these reads, so that a caller that sends without end takes
 # little time from the others.
 LINGER_PAUSE_SECONDS = 0.01
+# The connections of this side share their turns.
+TURN_QUEUE = turns.TurnQueue()
 
 
 class ServerConnection:
@@ -70,6 +73,7 @@
         )
         # Those of them whose method is HEAD.
         self._head_requests: set[h11.Connection] = set()
+        self._turns = turns.Turns(queue=TURN_QUEUE)
         self._received_at = time.monotonic()
         # Whether the last request that is read ends the connection, whether no
         # request may follow the last one that was read, and whether the
@@ -223,8 +227,7 @@
             return None
         if head.method == b"HEAD":
             self._head_requests.add(self._http)
-        chunks = []
-        size = 0
+        body = bytearray()
         if self._http.they_are_waiting_for_100_continue:
             await self._wait_for_earlier_responses()
             if self._ended or self._broken:
@@ -232,17 +235,16 @@
             event = h11.InformationalResponse(status_code=100, headers=[])
             await self._send_bytes(self._http.send(event) or b"")
         while isinstance(event := await self._next_event(), h11.Data):
-            size += len(event.data)
-            if size > limit:
+            body += event.data
+            if len(body) > limit:
                 raise errors.RequestTooLargeError(
                     f"request body exceeds {limit} bytes"
                 )
-            chunks.append(bytes(event.data))
         return messages.Request(
             method=head.method,
             target=head.target,
             headers=messages.strip_connection_headers(head.headers),
-            body=b"".join(chunks),
+            body=bytes(body),
         )
 
     async def _wait_for_earlier_responses(self) -> None:
@@ -259,8 +261,10 @@
             await self._progress.set()
 
     async def _next_event(self) -> h11.Event:
+        await self._turns.count()
         while (event := self._http.next_event()) is h11.NEED_DATA:
             self._receive_data(await self._receive())
+            await self._turns.count()
         return event
 
     async def _receive(self) -> bytes:
--- a/libs/http/tests/test_own_responses.py
+++ b/libs/http/tests/test_own_responses.py
@@ -329,3 +329,64 @@
         assert await caller.recv(4096) == b""
 
     serve_caller(use)
+
+
+CHUNKED = b"POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
+
+
+def encode_chunks(count, extension=b""):
+    return (b"1%b\r\nx\r\n" % extension) * count + b"0\r\n\r\n"
+
+
+def test_a_body_in_tiny_chunks_does_not_stop_other_tasks():
+    """Guards against a process that stands still while it reads a body."""
+
+    async def use(connection, caller):
+        passes = 0
+
+        async def count_passes():
+            nonlocal passes
+            while True:
+                await curio.sleep(0)
+                passes += 1
+
+        chunks = 5000
+        await caller.sendall(CHUNKED + encode_chunks(chunks))
+        reading = await curio.spawn(
+            connection.read_request(
+                limit=chunks,
+                idle_deadline=time.monotonic() + 5,
+                head_seconds=5,
+            )
+        )
+        counting = await curio.spawn(count_passes)
+        request = await reading.join()
+        await counting.cancel()
+        assert request.body == b"x" * chunks
+        assert passes > chunks / 100
+
+    serve_caller(use)
+
+
+def test_a_body_within_the_limit_may_have_more_framing_than_content():
+    """Guards against refusing the small chunks of a proper caller."""
+
+    async def use(connection, caller):
+        await caller.sendall(
+            CHUNKED + encode_chunks(90, b";" + b"e" * 20) + EXPECTING
+        )
+        assert (await read(connection)).body == b"x" * 90
+
+    serve_caller(use)
+
+
+def test_trailers_over_the_limit_of_a_head_are_431():
+    """Guards against trailers that use up the memory of the process."""
+
+    async def use(connection, caller):
+        await caller.sendall(CHUNKED + b"1\r\nx\r\n0\r\na: " + b"x" * 9000)
+        with pytest.raises(http.MalformedRequestError) as caught:
+            await read(connection)
+        assert caught.value.status == 431
+
+    serve_caller(use)
