http: chunk extensions count against the limit of a body

A body of 2 kB with 16 kB of extension in each chunk made a gateway receive and parse 32 MB (0.12 s of processor time), and nothing bounded it: only content was counted, and h11 drops extensions.

Change: received bytes beyond the content and its plain framing (5 bytes for a chunk of one byte) may amount to the body limit, plus one buffer and one head, since the buffer may hold the requests behind; beyond that the request ends with 413, which is what a larger body gets.

Test before: Failed: DID NOT RAISE RequestTooLargeError (test_a_body_that_is_nearly_all_chunk_extensions_is_too_large) Measured: the tests of libs/http, libs/direct and libs/gateway pass (289, one run).

--- a/libs/http/src/banyandale_http/_server.py
+++ b/libs/http/src/banyandale_http/_server.py
@@ -18,6 +18,8 @@
 
 RECEIVE_BYTES = 65536
 MAX_HEAD_BYTES = 65536
+# Bytes of framing per byte of content in chunks of one byte without extension.
+MAX_FRAMING_PER_BYTE = len(b"1\r\n\r\n")
 # Timeout of sending to a caller. A caller that does not read its response would
 # otherwise hold a slot of a backend server.
 SEND_TIMEOUT_SECONDS = 10.0
@@ -75,6 +77,7 @@
         self._head_requests: set[h11.Connection] = set()
         self._turns = turns.Turns(queue=TURN_QUEUE)
         self._received_at = time.monotonic()
+        self._received_bytes = 0
         # Whether the last request that is read ends the connection, whether no
         # request may follow the last one that was read, and whether the
         # response that ends the connection was sent.
@@ -119,7 +122,8 @@
 
         Raises:
             MalformedRequestError: The request is not valid HTTP.
-            RequestTooLargeError: The body is larger than `limit`.
+            RequestTooLargeError: The body is larger than `limit`, or its
+                chunk extensions are.
             RequestTimeoutError: The head or the body took too long.
             CallerGoneError: An interim response could not be sent.
         """
@@ -163,6 +167,7 @@
 
     def _receive_data(self, data: bytes) -> None:
         self._received_at = time.monotonic()
+        self._received_bytes += len(data)
         if not data:
             self.caller_left = True
         self._http.receive_data(data)
@@ -228,6 +233,10 @@
         if head.method == b"HEAD":
             self._head_requests.add(self._http)
         body = bytearray()
+        # Received bytes that are neither content nor its plain framing: chunk
+        # extensions, and up to a full buffer of the requests behind.
+        excess_limit = limit + RECEIVE_BYTES + self._max_head_bytes
+        start = self._received_bytes
         if self._http.they_are_waiting_for_100_continue:
             await self._wait_for_earlier_responses()
             if self._ended or self._broken:
@@ -240,6 +249,11 @@
                 raise errors.RequestTooLargeError(
                     f"request body exceeds {limit} bytes"
                 )
+            plain = len(body) * (1 + MAX_FRAMING_PER_BYTE)
+            if self._received_bytes - start - plain > excess_limit:
+                raise errors.RequestTooLargeError(
+                    f"chunk extensions exceed {limit} bytes"
+                )
         return messages.Request(
             method=head.method,
             target=head.target,
--- a/libs/http/tests/test_own_responses.py
+++ b/libs/http/tests/test_own_responses.py
@@ -368,6 +368,19 @@
     serve_caller(use)
 
 
+def test_a_body_that_is_nearly_all_chunk_extensions_is_too_large():
+    """Guards against a caller that keeps a process busy with a small body."""
+
+    async def use(connection, caller):
+        data = CHUNKED + encode_chunks(90, b";" + b"e" * 2000)
+        sending = await curio.spawn(caller.sendall, data)
+        with pytest.raises(http.RequestTooLargeError):
+            await read(connection)
+        await sending.cancel()
+
+    serve_caller(use)
+
+
 def test_a_body_within_the_limit_may_have_more_framing_than_content():
     """Guards against refusing the small chunks of a proper caller."""
 
