direct: notice a suspension also if other tasks run before the signal

Change: `LifeSigns` remembers the last gap for half a second after its end. A replay of both orders is a unit test.

--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -431,10 +431,8 @@
 
     async def _stop(self, number: signal.Signals) -> None:
         plan = stops.StopPlan(
-            signalled_at=stops.find_signal_time(
-                now=time.monotonic(),
-                boot_now=core.boot_seconds(),
-                last_sign_at=self._gossip.round_at,
+            signalled_at=self._gossip.life_signs.find_signal_time(
+                now=time.monotonic(), boot_now=core.boot_seconds()
             ),
             boot_offset=core.boot_seconds() - time.monotonic(),
             grace_seconds=self._settings.grace_seconds,
--- a/libs/direct/src/banyandale_direct/_gossip.py
+++ b/libs/direct/src/banyandale_direct/_gossip.py
@@ -17,6 +17,7 @@
 from banyandale_direct import _named_limits as named_limits
 from banyandale_direct import _replicas as replicas
 from banyandale_direct import _senders as senders
+from banyandale_direct import _stops as stops
 from banyandale_direct import _versions as versions
 import banyandale_http as http
 
@@ -89,8 +90,7 @@
         self._election = election
         self._limits = limits
         self._crashes = crashes
-        # Start of the last round, in seconds since the VM started.
-        self.round_at = core.boot_seconds()
+        self.life_signs = stops.LifeSigns(boot_now=core.boot_seconds())
         self._events = events
         self._metrics = metrics
         self._live: frozenset[str] = frozenset()
@@ -186,7 +186,7 @@
     async def send_round(self) -> None:
         """Sends one digest to a few gateways."""
         now = time.monotonic()
-        self.round_at = core.boot_seconds()
+        self.life_signs.record(core.boot_seconds())
         self._table.advance(ready=self._is_ready())
         targets = self._table.draw_targets(now=now)
         if self._table.is_alone(now=now):
--- a/libs/direct/src/banyandale_direct/_stops.py
+++ b/libs/direct/src/banyandale_direct/_stops.py
@@ -31,28 +31,49 @@
 CHECK_SECONDS = 0.02
 # A process without a sign of life for longer was suspended or held up.
 MAX_SILENT_SECONDS = 0.7
+# Time within which a process that runs again handles the signals that it got
+# meanwhile; its other tasks may run first.
+RESUMING_SECONDS = 0.5
 
 
-def find_signal_time(
-    *, now: float, boot_now: float, last_sign_at: float
-) -> float:
-    """Returns when the signal may have been sent at the earliest.
+class LifeSigns:
+    """Knows for how long the process did not run before a signal.
 
     A process that is suspended handles a signal only once it runs again.
+    """
 
-    Args:
-        now: Monotonic seconds.
-        boot_now: The same time in seconds since the VM started.
-        last_sign_at: Last time at which the process is known to have run, in
-            seconds since the VM started.
+    def __init__(self, *, boot_now: float) -> None:
+        """Starts now.
 
-    Returns:
-        Monotonic seconds; `now` unless the process was suspended.
-    """
-    silent_seconds = boot_now - last_sign_at
-    if silent_seconds <= MAX_SILENT_SECONDS:
-        return now
-    return now - silent_seconds
+        Args:
+            boot_now: Seconds since the VM started, as in the methods.
+        """
+        self._last_at = boot_now
+        # Start and end of the last time without a sign of life.
+        self._silent_since = boot_now
+        self._resumed_at = boot_now
+
+    def record(self, boot_now: float) -> None:
+        """Records that the process runs."""
+        if boot_now - self._last_at > MAX_SILENT_SECONDS:
+            self._silent_since = self._last_at
+            self._resumed_at = boot_now
+        self._last_at = boot_now
+
+    def find_signal_time(self, *, now: float, boot_now: float) -> float:
+        """Returns when a signal may have been sent at the earliest.
+
+        Args:
+            now: Monotonic seconds.
+            boot_now: The same time in seconds since the VM started.
+
+        Returns:
+            Monotonic seconds; `now` unless the process was just suspended.
+        """
+        self.record(boot_now)
+        if boot_now - self._resumed_at > RESUMING_SECONDS:
+            return now
+        return now - (boot_now - self._silent_since)
 
 
 class StopPlan:
--- a/libs/direct/tests/test_stops.py
+++ b/libs/direct/tests/test_stops.py
@@ -1,5 +1,7 @@
 """Tests of graceful shutdown."""
 
+import pytest
+
 from banyandale_direct import _lookups as lookups
 from banyandale_direct import _stops as stops
 
@@ -57,15 +59,26 @@
 
 
 def test_a_signal_counts_from_when_it_may_have_been_sent():
-    """Guards against a grace time that starts when a suspension ends."""
-    assert (
-        stops.find_signal_time(now=10.0, boot_now=110.0, last_sign_at=109.5)
-        == 10.0
-    )
-    assert (
-        stops.find_signal_time(now=10.0, boot_now=110.0, last_sign_at=108.5)
-        == 8.5
-    )
+    """Guards against a grace time that starts when a suspension ends.
+
+    The other tasks may run before the signal is handled.
+    """
+    for first_sign in (110.0, 110.1):
+        signs = stops.LifeSigns(boot_now=100.0)
+        for number in range(18):
+            signs.record(100.0 + number * 0.5)
+        signs.record(first_sign)
+        assert signs.find_signal_time(now=10.2, boot_now=110.2) == (
+            pytest.approx(8.5)
+        )
+
+
+def test_a_signal_that_is_handled_at_once_counts_from_then():
+    """Guards against stops that are shorter than the grace time."""
+    signs = stops.LifeSigns(boot_now=100.0)
+    for number in range(20):
+        signs.record(102.0 + number * 0.5)
+    assert signs.find_signal_time(now=10.2, boot_now=112.0) == 10.2
 
 
 def test_a_suspension_during_a_stop_shortens_it():
