direct: a call that silences its server makes its content a suspect at once

Under a request that makes servers go dark (they answer nothing and close nothing), server after server was lost: the script saw 31 to 33 in 24 s, and 19 to 22 sends later than contactS after the third.

Cause: a crash counted only after a connection had broken. A call without an answer waited, unseen by all others, for the entry of its server to go (4.5 s and more), and only when its own deadline had come. All sends meanwhile had order 0, so they counted as one crash.

Evidence: the new test fails on the code before, with 12 servers and five requests a second at three gateways:

E assert 30 <= 3 tests/adapter/test_crashing_calls.py: AssertionError

Change: an overdue call, while it still waits, asks its server for a report, and if there is none up to three others of the service. If the server had reported right before the send, is silent now, and another one reports, the content gets a break without an explanation (`broken`), as after a broken connection whose server does not answer. So all that holds for those holds here: one send at a time over all gateways, 1.5 s after a trial, none after three in a row before they are explained. It counts only once the entry is gone or new, which no gateway's own path decides; if the entry stays for 8 s it counts for nothing. The call that found it is hedged at once, with permission.

Ruled out as evidence, each with a test: slow servers (they report), frozen servers (a trial is answered), a server that was silent before the send, a gateway without a path or a service that hangs as a whole (no other reports), servers that leave.

Open, in docs/incidents/second-site-budget.md: calls that become overdue only after the entry is gone; a service with no other server that reports; a store that is down for longer than 8 s.

--- a/libs/direct/src/banyandale_direct/_crash_records.py
+++ b/libs/direct/src/banyandale_direct/_crash_records.py
@@ -163,6 +163,26 @@
         }
 
 
+def has_silenced(
+    *, reported_before: bool, reports: bool, others_report: bool
+) -> bool:
+    """Returns whether an overdue call may have silenced its server.
+
+    Load pattern: a request makes every server that runs it go dark. The server
+    answers nothing and closes nothing, and its entry goes only seconds later,
+    while its caller repeats the request. Such a call makes its content a
+    suspect, as a broken connection does. A slow server still reports; a server
+    that was silent before the send owes that to something else; and a gateway
+    that has lost its path hears none of the other servers either.
+
+    Args:
+        reported_before: Whether the server reported right before the send.
+        reports: Whether it reports now.
+        others_report: Whether another server of its service reports now.
+    """
+    return reported_before and not reports and others_report
+
+
 def _merge_crashes(
     known: tuple[Crash, ...], others: Iterable[Crash]
 ) -> tuple[Crash, ...]:
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -62,6 +62,10 @@
 # Retry delay of callers whose request crashes servers. Callers that wait this
 # long at most come back after the longest delay that they accept.
 CRASHING_RETRY_AFTER_SECONDS = 60.0
+# Servers of the same service that are asked when one has gone silent.
+COMPARED_SERVERS = 3
+# Longest time to find out that a server is silent and that others are not.
+SILENCE_CHECK_SECONDS = 2 * channels.REPORT_TIMEOUT_SECONDS
 # Callers rejected by a stopping gateway can retry elsewhere immediately.
 STOPPING_RETRY_AFTER_SECONDS = 0.0
 
@@ -127,6 +131,9 @@
         report: Load report by which the server was chosen, or None.
         run: Whether the server may have run the call.
         permit: Permission to send the call's content.
+        waiting: Whether it is sent, or about to be, and not answered yet.
+        checking: Whether its server is asked for a report, as it is overdue.
+        silenced: Whether its server answers nothing any more.
         handed_over: Whether another gateway made its sends.
     """
 
@@ -144,6 +151,9 @@
     report: placement.LoadReport | None = None
     run: core.RunMark = core.RunMark.NOT_RUN
     permit: quarantine.Permit = quarantine.UNSUSPECTED
+    waiting: bool = False
+    checking: bool = False
+    silenced: bool = False
     handed_over: bool = False
 
 
@@ -280,13 +290,16 @@
             await self._attempt(attempt)
         except Exception as error:  # The call must still be answered.
             attempt.error = "internal_error"
-            self._shared.metrics.incr("internal_error")
-            self._shared.events.write_state(
-                "fault", request=self._call.id, error=repr(error)
-            )
+            self._record_fault(error)
         attempt.open = False
         await self._events.put(attempt)
 
+    def _record_fault(self, error: Exception) -> None:
+        self._shared.metrics.incr("internal_error")
+        self._shared.events.write_state(
+            "fault", request=self._call.id, error=repr(error)
+        )
+
     async def _finish(self) -> FinalAnswer | None:
         open_attempts = 1
         while True:
@@ -354,7 +367,8 @@
         allowed = (
             self._route.repeatable
             and self._may_send()
-            and not self._is_suspect()
+            # The hedge of a call that silenced its server needs permission.
+            and (self._attempts[0].silenced or not self._is_suspect())
             and self._count_sends() < self._route.max_attempts
             and self._spend_repeat()
         )
@@ -483,7 +497,8 @@
         work = self._shared.demands.find(self._route).work_seconds
         permit = await quarantined.acquire(
             self._call,
-            lease_seconds=work * server_health.OVERDUE_FACTOR,
+            lease_seconds=work * server_health.OVERDUE_FACTOR
+            + SILENCE_CHECK_SECONDS,
             deadline=self._answer_by - work * admission.WORK_MARGIN,
         )
         if permit is None:
@@ -534,13 +549,124 @@
         sent_at = time.monotonic()
         self._log_placed(probe, sent_at)
         await self._plan_hedge(sent_at)
+        attempt.waiting = True
+        watch = await curio.spawn(
+            self._watch_silence,
+            attempt,
+            probe.candidate.entry,
+            sent_at,
+            daemon=True,
+        )
         try:
             await self._send(attempt, probe)
         finally:
             health.in_flight -= 1
+            attempt.waiting = False
+            if not attempt.checking:
+                await watch.cancel(blocking=False)
         self._record_outcome(attempt, server.id, time.monotonic() - sent_at)
         await self._record_evidence(attempt, server, time.monotonic() - sent_at)
 
+    async def _watch_silence(
+        self, attempt: _Attempt, entry: registry.Entry, sent_at: float
+    ) -> None:
+        """Records that the call has silenced its server, once it has.
+
+        The server is asked when the call is overdue, and then less and less
+        often while the call is at it.
+        """
+        try:
+            check_at = max(
+                server_health.find_overdue_at(
+                    sent_at, expected_seconds=self._expect_seconds(attempt)
+                ),
+                sent_at + channels.REPORT_TIMEOUT_SECONDS,
+            )
+            while not await self._check_silence(attempt, entry, check_at):
+                check_at += check_at - sent_at
+        except Exception as error:  # The call itself goes on.
+            self._record_fault(error)
+
+    async def _check_silence(
+        self, attempt: _Attempt, entry: registry.Entry, check_at: float
+    ) -> bool:
+        """Asks the server at some time; returns whether that was the last."""
+        # Most calls are answered before their permission must be extended.
+        await curio.sleep(max(check_at - time.monotonic(), 0.0) / 2)
+        await self._shared.quarantine.extend(
+            attempt.permit,
+            check_at + SILENCE_CHECK_SECONDS - time.monotonic(),
+        )
+        await curio.sleep(max(check_at - time.monotonic(), 0.0))
+        if not attempt.sent:
+            # It still waits for a connection.
+            return False
+        attempt.checking = True
+        try:
+            reports = await self._reports(entry)
+            silenced = crash_records.has_silenced(
+                reported_before=attempt.report is not None,
+                reports=reports,
+                others_report=not reports
+                and await self._others_report(entry.server),
+            )
+            if silenced and attempt.kind is None:
+                await self._record_silence(attempt, entry.server)
+                return True
+        finally:
+            attempt.checking = False
+        return not attempt.waiting
+
+    async def _record_silence(
+        self, attempt: _Attempt, server: registry.Server
+    ) -> None:
+        """Records that the call has silenced its server, and hedges it."""
+        permit = attempt.permit
+        # It is held from here on, even if the call waits for much longer.
+        attempt.permit = dataclasses.replace(permit, holder="")
+        attempt.silenced = True
+        await self._shared.quarantine.record_silence(
+            self._call, server, permit=permit
+        )
+        if not permit.holder and len(self._attempts) == 1:
+            self._hedge_at = time.monotonic()
+            await self._events.put(_WakeReason.HEDGE_PLANNED)
+
+    async def _reports(self, entry: registry.Entry) -> bool:
+        """Returns whether a server reports to this gateway now."""
+        probe = await self._shared.channels.probe(
+            entry,
+            self._service,
+            local=False,
+            avoided=False,
+            deadline=time.monotonic() + channels.REPORT_TIMEOUT_SECONDS,
+        )
+        await self._shared.channels.release(probe)
+        report = probe.candidate.report
+        return report is not None and (
+            report.server_id in ("", entry.server.id)
+        )
+
+    async def _others_report(self, server: registry.Server) -> bool:
+        """Returns whether another server of the service reports now."""
+        now = time.monotonic()
+        others = {
+            entry.server.id: entry
+            for entry in self._shared.registry.find(self._service.name, now=now)
+            if entry.server.id != server.id
+        }
+        for server_id in self._shared.paths.list_unreached(
+            self._service.name, others, now=now
+        ):
+            del others[server_id]
+        asked = self._shared.random.sample(
+            list(others.values()), min(len(others), COMPARED_SERVERS)
+        )
+        async with curio.TaskGroup() as group:
+            for entry in asked:
+                await group.spawn(self._reports, entry)
+        return any(group.results)
+
     async def _record_evidence(
         self, attempt: _Attempt, server: registry.Server, seconds: float
     ) -> None:
@@ -896,10 +1022,15 @@
 
     def _is_overdue(self, attempt: _Attempt, seconds: float) -> bool:
         """Returns whether an unanswered call counts as its server's failure."""
+        return server_health.is_overdue(
+            seconds, expected_seconds=self._expect_seconds(attempt)
+        )
+
+    def _expect_seconds(self, attempt: _Attempt) -> float:
         work = self._shared.demands.find(self._route).work_seconds
-        if attempt.report is not None:
-            work = placement.estimate_seconds(attempt.report, work)
-        return server_health.is_overdue(seconds, expected_seconds=work)
+        if attempt.report is None:
+            return work
+        return placement.estimate_seconds(attempt.report, work)
 
     def _log_placed(self, probe: channels.Probe, now: float) -> None:
         self._shared.events.write(
--- a/libs/direct/src/banyandale_direct/_quarantine.py
+++ b/libs/direct/src/banyandale_direct/_quarantine.py
@@ -418,6 +418,42 @@
             if permit.holder and not answers:
                 self._unexplained_trials.add(fingerprint)
 
+    async def record_silence(
+        self, call: protocols.Call, server: registry.Server, *, permit: Permit
+    ) -> None:
+        """Records that a call seems to have silenced its server.
+
+        The entry tells later whether the server has ended. Until then this
+        counts for nothing, but the content is sent once at a time.
+
+        Args:
+            call: The call, which may still wait for its answer.
+            server: The server that was running it.
+            permit: Permission with which it was sent. It is held for a while
+                and needs no release.
+        """
+        if not self._servers.is_registered(server):
+            # It has announced its departure.
+            return
+        fingerprint = fingerprints.compute_fingerprint(call)
+        crash = crash_records.Crash(
+            server_id=server.id,
+            started_unix_ms=server.started_unix_ms,
+            broke_at=core.boot_seconds(),
+            order=permit.order,
+            state=crash_records.CrashState.BROKEN,
+        )
+        await self._count(fingerprint, crash, request=call.id)
+        self._unexplained.append(_Break(fingerprint=fingerprint, crash=crash))
+        # Another break in a row changes no count yet.
+        await self._tell.set()
+        await self.extend(permit, HOLD_SECONDS)
+
+    async def extend(self, permit: Permit, seconds: float) -> None:
+        """Keeps other sends of a suspect away for some time from now."""
+        if permit.holder:
+            await self._ask_decider(permit, min(seconds, MAX_LEASE_SECONDS))
+
     async def _has_ended(self, server: registry.Server) -> bool | None:
         """Returns whether a server has ended; None if that is not known.
 
--- a/libs/direct/src/banyandale_direct/_server_health.py
+++ b/libs/direct/src/banyandale_direct/_server_health.py
@@ -33,6 +33,11 @@
     return seconds >= expected_seconds * OVERDUE_FACTOR
 
 
+def find_overdue_at(sent_at: float, *, expected_seconds: float) -> float:
+    """Returns when an unanswered call becomes overdue, in monotonic seconds."""
+    return sent_at + expected_seconds * OVERDUE_FACTOR
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class ServerHealth:
     """Recent failures of one server.
--- a/libs/direct/tests/test_crash_records.py
+++ b/libs/direct/tests/test_crash_records.py
@@ -7,8 +7,10 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
+import pytest
 
 from banyandale_direct import _crash_records as crash_records
+from banyandale_direct import _quarantine as quarantine
 
 CONTENT = b"c" * 16
 OTHER = b"o" * 16
@@ -209,6 +211,97 @@
     assert grant("c", 1.7)
 
 
+@pytest.mark.parametrize(
+    ("reported_before", "reports", "others_report", "silenced"),
+    [
+        (True, False, True, True),
+        # A slow server.
+        (True, True, True, False),
+        # A server that was frozen, or cut off, before the send.
+        (False, False, True, False),
+        # A gateway without a path, or a service all of whose servers hang.
+        (True, False, False, False),
+    ],
+)
+def test_only_a_server_that_goes_dark_alone_was_silenced(
+    reported_before, reports, others_report, silenced
+):
+    """Guards against slow servers and lost paths taken for evidence."""
+    assert silenced is crash_records.has_silenced(
+        reported_before=reported_before,
+        reports=reports,
+        others_report=others_report,
+    )
+
+
+class SilencedServers:
+    """Servers that go dark under one content, as one table knows of them.
+
+    Attributes:
+        sent: When the content was sent.
+    """
+
+    def __init__(self, found_seconds, lapse_seconds):
+        self.table = crash_records.CrashTable()
+        self.sent = []
+        self._found_seconds = found_seconds
+        self._lapse_seconds = lapse_seconds
+        self._crashes = []
+        self._held_until = 0.0
+
+    def send(self, now):
+        """Sends the content, unless it is refused or must wait."""
+        self._learn(now)
+        order = 0
+        suspicion = self.table.suspicion(CONTENT)
+        if suspicion is CERTAIN:
+            return
+        if suspicion is SUSPECT:
+            record = self.table.find(CONTENT)
+            if record.is_unexplained or now < self._held_until:
+                return
+            order = record.next_order
+            self._held_until = (
+                now + self._found_seconds + quarantine.HOLD_SECONDS
+            )
+        crash = make_crash(
+            f"i{len(self.sent)}",
+            at=now + self._found_seconds,
+            order=order,
+            state=crash_records.CrashState.BROKEN,
+        )
+        self.sent.append(now)
+        self._crashes.append((now, crash))
+
+    def _learn(self, now):
+        for sent_at, crash in self._crashes:
+            if now >= crash.broke_at:
+                self.table.record_crash(CONTENT, crash)
+            if now >= sent_at + self._lapse_seconds:
+                self.table.settle(
+                    CONTENT,
+                    crash.process,
+                    crash_records.CrashState.CONFIRMED,
+                )
+
+
+@settings(max_examples=50, deadline=None, derandomize=True)
+@given(
+    interval=strategies.floats(0.05, 1.0),
+    found_seconds=strategies.floats(0.2, 1.0),
+)
+def test_a_request_that_silences_servers_is_sent_on_rarely(
+    interval, found_seconds
+):
+    """Guards against sends that go on until the entries of servers are gone."""
+    servers = SilencedServers(found_seconds, lapse_seconds=4.5)
+    for number in range(int(30.0 / interval)):
+        servers.send(number * interval)
+    assert servers.table.suspicion(CONTENT) is CERTAIN
+    # The requirement allows three sends later than 3 s after the third crash.
+    assert sum(at > servers.sent[2] + 3.0 for at in servers.sent) <= 3
+
+
 class Fleet:
     """Gateways that exchange their records with delay and loss.
 
--- a/libs/direct/tests/test_quarantine.py
+++ b/libs/direct/tests/test_quarantine.py
@@ -145,6 +145,14 @@
             **{"permit": quarantine.UNSUSPECTED, "answers": False} | fields,
         )
 
+    async def record_silence(self, permit=quarantine.UNSUSPECTED):
+        await self.quarantine.record_silence(CALL, self.server, permit=permit)
+
+    async def acquire(self):
+        return await self.quarantine.acquire(
+            CALL, lease_seconds=0.01, deadline=time.monotonic() + 0.2
+        )
+
     def suspicion(self):
         return self.quarantine.suspicion(CALL)
 
@@ -229,6 +237,60 @@
     run_world(scenario, ended=False)
 
 
+def test_a_call_that_silences_its_server_is_a_suspect_at_once():
+    """Guards against sends that go on until the entry of the server is gone."""
+
+    async def scenario(world):
+        await world.record_silence()
+        record = world.crashes.records()[0]
+        assert (record.count, record.suspicion) == (0, SUSPECT)
+        world.put(started_unix_ms=2)
+        await world.quarantine._settle()
+        assert world.crashes.records()[0].count == 1
+
+    run_world(scenario, ended=False, server_id=None)
+
+
+def test_a_silent_server_that_stays_registered_is_no_evidence(monkeypatch):
+    """Guards against a verdict that rests on one gateway's path."""
+    now = core.boot_seconds()
+    clock = [now]
+    monkeypatch.setattr(core, "boot_seconds", lambda: clock[0])
+
+    async def scenario(world):
+        await world.record_silence()
+        clock[0] = now + quarantine.ALIVE_SECONDS - 0.1
+        await world.quarantine._settle()
+        assert world.suspicion() is SUSPECT
+        clock[0] = now + quarantine.ALIVE_SECONDS + 0.1
+        await world.quarantine._settle()
+        assert world.suspicion() is NONE
+
+    run_world(scenario, ended=False, server_id=None)
+
+
+def test_a_silent_server_that_leaves_is_no_evidence():
+    async def scenario(world):
+        world.put(leaving=True)
+        await world.record_silence()
+        assert world.suspicion() is NONE
+
+    run_world(scenario, ended=False, server_id=None)
+
+
+def test_a_trial_that_silences_its_server_holds_the_next():
+    """Guards against trials in a row that end before the first is explained."""
+
+    async def scenario(world):
+        await world.record_silence()
+        permit = await world.acquire()
+        assert permit.order == 1
+        await world.record_silence(permit=permit)
+        assert await world.acquire() is None
+
+    run_world(scenario, ended=False, server_id=None)
+
+
 @pytest.mark.parametrize("ended", [True, False])
 def test_a_lost_path_is_told_from_the_end_of_a_server(ended, monkeypatch):
     """Guards against refused connections of a cut, and a store that is down."""
--- a/tests/adapter/deployments.py
+++ b/tests/adapter/deployments.py
@@ -77,6 +77,7 @@
         started = standin.ServerStandin(name)
         started.work_seconds = server.work_seconds
         started.crash_prefix = server.crash_prefix
+        started.crashes_silently = server.crashes_silently
         await started.start("127.0.0.1:0")
         self.servers.append(started)
         await self.register(started)
@@ -173,7 +174,7 @@
             process.kill()
             process.wait()
         for server in self.servers:
-            if server.ended_at is None:
+            if server.ended_at is None or server.crashes_silently:
                 await server.stop()
         await self.store.stop()
 
--- a/tests/adapter/standin.py
+++ b/tests/adapter/standin.py
@@ -18,6 +18,8 @@
 BORN_MS = 1_787_000_000_000
 # Time for which a server runs a request that makes it crash.
 CRASH_SECONDS = 0.04
+# A server that has gone dark does not come back within a test.
+DARK_SECONDS = 3600.0
 CUT_CHECK_SECONDS = 0.02
 # Cuts that hang open connections, and cuts that end new ones.
 HANGS = frozenset({"silent", "stale"})
@@ -286,6 +288,9 @@
         born: Start of its process in Unix milliseconds.
         crash_prefix: Requests whose path starts with it end the server while
             it runs them; None for no requests.
+        crashes_silently: Whether such a request leaves its connections open
+            and hanging, and new ones too.
+        crashing_at: Monotonic seconds at which it began such a request.
         ended_at: Monotonic seconds when it crashed, or None.
     """
 
@@ -305,9 +310,26 @@
         self.born = BORN_MS
         self.report_seconds = 0.0
         self.crash_prefix = None
+        self.crashes_silently = False
+        self.crashing_at = []
         self.ended_at = None
 
     async def handle(self, request, sock):
+        """Answers a request, unless the server has gone dark before or since.
+
+        A dark server sends nothing and closes nothing.
+        """
+        if not self._is_dark():
+            response = await self._answer(request, sock)
+            if not self._is_dark():
+                return response
+        await curio.sleep(DARK_SECONDS)
+        return None
+
+    def _is_dark(self):
+        return self.crashes_silently and self.ended_at is not None
+
+    async def _answer(self, request, sock):
         if request.target == b"/health":
             await curio.sleep(self.report_seconds)
             return make_response(
@@ -334,10 +356,12 @@
         self.executed_ids.append(request_id.decode())
         self.executed_headers.append(dict(request.headers))
         if self.crash_prefix and request.target.startswith(self.crash_prefix):
+            self.crashing_at.append(time.monotonic())
             await curio.sleep(CRASH_SECONDS)
             if self.ended_at is None:
                 self.ended_at = time.monotonic()
-                await self.crash()
+                if not self.crashes_silently:
+                    await self.crash()
             return None
         until = time.monotonic() + self.find_work(request)
         while time.monotonic() < until:
--- a/tests/adapter/test_crashing_calls.py
+++ b/tests/adapter/test_crashing_calls.py
@@ -21,6 +21,8 @@
 CONTACT_SECONDS = 3.0
 LATE_SENDS = 3
 MIN_SERVED = 0.98
+# The platform removes the entry of a silent server after three heartbeats.
+LAPSE_SECONDS = 4.5
 
 
 class CrashingLoad:
@@ -31,10 +33,12 @@
         seconds: Durations of these answers.
         ordinary: Answers to ordinary calls by path; every path but the popular
             one is called once.
+        silent: Whether servers go dark instead of ending their connections.
     """
 
-    def __init__(self, deployment):
+    def __init__(self, deployment, silent=False):
         self._deployment = deployment
+        self.silent = silent
         self._names = itertools.count()
         self.running = True
         self.statuses = []
@@ -50,6 +54,7 @@
             await deployment.register(server)
         for server in deployment.servers:
             server.crash_prefix = CRASHING_PATH.encode()
+            server.crashes_silently = self.silent
             server.work_seconds = 0.02
 
     def ended(self):
@@ -60,14 +65,23 @@
             if server.ended_at is not None
         )
 
+    def sent(self):
+        """Returns when servers began the crashing request, in order."""
+        return sorted(
+            at
+            for server in self._deployment.servers
+            for at in server.crashing_at
+        )
+
     async def restart_servers(self):
         replaced = set()
+        seconds = LAPSE_SECONDS if self.silent else RESTART_SECONDS
         while self.running:
             now = time.monotonic()
             for server in list(self._deployment.servers):
                 if server.ended_at is None or server.id in replaced:
                     continue
-                if now >= server.ended_at + RESTART_SECONDS:
+                if now >= server.ended_at + seconds:
                     replaced.add(server.id)
                     name = f"k-{next(self._names)}"
                     await self._deployment.replace_server(server, name)
@@ -96,6 +110,18 @@
             for path in (None, POPULAR_PATH):
                 await curio.spawn(self.call_ordinarily, ip, path, daemon=True)
 
+    async def send_for(self, ips, seconds):
+        """Sends without waiting for the answers, until all are there."""
+        until = time.monotonic() + seconds
+        tasks = []
+        for ip in itertools.cycle(ips):
+            if time.monotonic() >= until:
+                break
+            tasks.append(await curio.spawn(self.send_crashing, ip))
+            await curio.sleep(CRASH_INTERVAL_SECONDS)
+        for task in tasks:
+            await task.join()
+
     async def send_until(self, ips, until):
         for ip in itertools.cycle(ips):
             if time.monotonic() >= until:
@@ -129,6 +155,30 @@
     deployments.run(tmp_path, scenario, GATEWAYS)
 
 
+def test_a_request_that_silences_servers_is_held_back(tmp_path):
+    """Guards against evidence that waits for the entry of a silent server."""
+
+    async def scenario(deployment, *ips):
+        load = CrashingLoad(deployment, silent=True)
+        await load.add_servers(12)
+        await load.spawn_ordinary(ips)
+        await curio.sleep(0.5)
+        await load.send_for(ips, 5 * CONTACT_SECONDS)
+        load.running = False
+        ended = load.ended()
+        late_from = ended[CERTAIN_AFTER - 1] + CONTACT_SECONDS
+        late = [at for at in load.sent() if at > late_from]
+        assert len(late) <= LATE_SENDS
+        # It is certain in the end: refused at once, and sent no more.
+        assert set(load.statuses[-10:]) == {503}
+        assert max(load.seconds[-10:]) < 0.1
+        for statuses in load.ordinary.values():
+            assert statuses.count(200) >= MIN_SERVED * len(statuses)
+        assert load.ordinary[POPULAR_PATH][-20:] == [200] * 20
+
+    deployments.run(tmp_path, scenario, GATEWAYS)
+
+
 def test_a_crashing_request_is_known_after_the_loss_of_all_gateways(tmp_path):
     """Guards against evidence that ends with the processes."""
 
@@ -216,6 +266,38 @@
     run_ordinary_load(tmp_path, harm, check)
 
 
+def test_servers_that_hang_for_a_while_leave_calls_innocent(tmp_path):
+    """Guards against calls that are refused since their servers were frozen."""
+
+    async def harm(deployment):
+        for server in deployment.servers[:5]:
+            server.crashes_silently = True
+            server.ended_at = time.monotonic()
+            await curio.sleep(0.6)
+            server.ended_at = None
+
+    def check(counted):
+        assert counted
+        assert {event["suspicion"] for event in counted} <= {"suspect"}
+        assert {event["evidence"] for event in counted} <= {"broken"}
+
+    run_ordinary_load(tmp_path, harm, check)
+
+
+def test_slow_servers_are_no_evidence(tmp_path):
+    """Guards against overdue calls at servers that still report."""
+
+    async def harm(deployment):
+        for server in deployment.servers:
+            server.work_seconds = 0.35
+        await curio.sleep(2.0)
+
+    def check(counted):
+        assert counted == []
+
+    run_ordinary_load(tmp_path, harm, check)
+
+
 def test_operators_can_see_and_lift_what_is_refused(tmp_path):
     """Guards against a content that stays refused after its repair."""
 
