direct: an odd load of another gateway counts as unreadable

A gateway that hands a call over asks others for their load. No run showed what callers saw.

Change: `read_load` checks the types and raises MalformedLoadError, which counts as `handovers:load_unreadable` as before. The tests of it are new and name a function that did not exist, so they have no failing run on the code before; that json.loads(b"[" * 2000) raises RecursionError was run.

Measured: libs/direct/tests/test_handovers.py and tests/adapter/test_cut_gateways.py pass (one run each).

--- a/libs/direct/src/banyandale_direct/_handovers.py
+++ b/libs/direct/src/banyandale_direct/_handovers.py
@@ -57,6 +57,10 @@
 )
 
 
+class MalformedLoadError(ValueError):
+    """The answer is not the load of a gateway."""
+
+
 class MalformedTermsError(ValueError):
     """The terms of a call that is handed over cannot be read."""
 
@@ -287,18 +291,13 @@
             raise
         await pool.release(connection)
         try:
-            state = json.loads(response.body)
-            able = state["ready"] and not (
-                state["impaired"] & paths.group_mask(service)
-            )
-            return (
-                Receiver(ip=ip, open_calls=state["open_calls"])
-                if able
-                else None
-            )
-        except (KeyError, TypeError, ValueError):
+            open_calls = read_load(response.body, service=service)
+        except MalformedLoadError:
             self._metrics.incr("handovers:load_unreadable")
             return None
+        if open_calls is None:
+            return None
+        return Receiver(ip=ip, open_calls=open_calls)
 
     def pool(self, address: str) -> http.Pool:
         """Returns the pool of connections to a port of a gateway."""
@@ -319,6 +318,24 @@
                 await self._pools.pop(address).retire()
 
 
+def read_load(data: bytes, *, service: str) -> int | None:
+    """Returns the open calls of a gateway; None if it takes none of a service.
+
+    Raises:
+        MalformedLoadError: The bytes are not what `write_load` returns.
+    """
+    try:
+        state = json.loads(data)
+        ready, impaired = state["ready"], state["impaired"]
+        open_calls = state["open_calls"]
+    except (KeyError, TypeError, ValueError, RecursionError) as error:
+        raise MalformedLoadError(repr(error)) from error
+    if (type(ready), type(impaired), type(open_calls)) != (bool, int, int):
+        raise MalformedLoadError(f"load of a gateway is {data[:80]!r}")
+    able = ready and not impaired & paths.group_mask(service)
+    return open_calls if able else None
+
+
 def write_load(*, ready: bool, impaired: int, open_calls: int) -> bytes:
     """Returns the answer to a request for the load."""
     return json.dumps(
--- a/libs/direct/tests/test_handovers.py
+++ b/libs/direct/tests/test_handovers.py
@@ -119,3 +119,39 @@
     outcome = handovers.read_answer(response)
     assert outcome.refusal is admission.Refusal.OUTCOME_UNKNOWN
     assert outcome.run is core.RunMark.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"[" * 2000,
+        b"[]",
+        b"{}",
+        b'{"ready": true, "impaired": 0, "open_calls": "1"}',
+        b'{"ready": true, "impaired": 0, "open_calls": null}',
+        b'{"ready": true, "impaired": 0.5, "open_calls": 1}',
+        b'{"ready": 1, "impaired": 0, "open_calls": 1}',
+    ],
+)
+def test_an_odd_load_of_a_gateway_is_told_as_such(data):
+    """Guards against calls that end with an internal error by a gateway's load.
+
+    Python's parser raises RecursionError for deep nesting.
+    """
+    with pytest.raises(handovers.MalformedLoadError):
+        handovers.read_load(data, service="s")
+
+
+def test_a_load_is_read_as_it_was_written():
+    mask = paths.group_mask("s")
+    for ready, impaired, read in (
+        (True, 0, 3),
+        (True, paths.ALL_GROUPS & ~mask, 3),
+        (True, mask, None),
+        (False, 0, None),
+    ):
+        data = handovers.write_load(
+            ready=ready, impaired=impaired, open_calls=3
+        )
+        assert handovers.read_load(data, service="s") == read
