tests: a server of test_responses listens at a reserved port

Its server listened at the deployment's default port at an address that all runs share, so that runs side by side took each other's connections. It uses the port that the cluster has reserved, like all other servers.

--- a/tests/test_responses.py
+++ b/tests/test_responses.py
@@ -150,7 +150,9 @@
 
     async def scenario(cluster):
         async with contextlib.AsyncExitStack() as stack:
-            server = ChunkedServer(f"127.0.1.99:{DEPLOYMENT.port}")
+            server = ChunkedServer(
+                f"127.0.1.99:{cluster.system.deployment.port}"
+            )
             task = await curio.spawn(server.run, daemon=True)
             stack.push_async_callback(task.cancel)
             await publish_server(cluster, server.address)
