tests, direct: one copy of raw servers, server entries and unknown answers

The tests of cut heads, repeated refusals and endless answers had a listener and a store entry each, and two methods of Exchange built the same answer.

--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -99,6 +99,15 @@
     )
 
 
+def leave_unknown() -> FinalAnswer:
+    """Returns the answer to a call that may have run."""
+    return FinalAnswer(
+        response=None,
+        status=UNKNOWN_STATUS,
+        refusal=admission.Refusal.OUTCOME_UNKNOWN,
+    )
+
+
 def refuse_stopping() -> FinalAnswer:
     """Returns the answer to a call that did not run as the process ends."""
     return refuse_not_run(
@@ -341,11 +350,7 @@
     def _end_wait(self) -> FinalAnswer:
         """Returns the answer to a call that was at no server at the exit."""
         if self._may_have_run():
-            return FinalAnswer(
-                response=None,
-                status=UNKNOWN_STATUS,
-                refusal=admission.Refusal.OUTCOME_UNKNOWN,
-            )
+            return leave_unknown()
         return refuse_stopping()
 
     def _may_send(self) -> bool:
@@ -449,11 +454,7 @@
         if failed is not None and failed.status not in NOT_RUN_PROMISES:
             return FinalAnswer(response=failed, status=failed.status)
         if self._may_have_run():
-            return FinalAnswer(
-                response=None,
-                status=UNKNOWN_STATUS,
-                refusal=admission.Refusal.OUTCOME_UNKNOWN,
-            )
+            return leave_unknown()
         last = self._attempts[-1]
         if last.refusal is not None and last.response is not None:
             # A receiver's own answer.
--- a/tests/adapter/standin.py
+++ b/tests/adapter/standin.py
@@ -386,20 +386,26 @@
 
     def make_entry(self, service, zone="a", state="ready", **fields):
         """Returns the entry that the server writes to the store."""
-        return {
-            "specification": {
-                "address": self.address,
-                "nodeInfo": {
-                    "service": service,
-                    "version": "v1",
-                    "zone": zone,
-                    "capacitySlots": 2,
-                },
-                "born": self.born,
-                **fields,
+        entry = make_server_entry(self.address, service, zone=zone, state=state)
+        entry["specification"] |= {"born": self.born, **fields}
+        return entry
+
+
+def make_server_entry(address, service, *, zone="a", state="ready", slots=2):
+    """Returns the entry that a server writes to the store."""
+    return {
+        "specification": {
+            "address": address,
+            "nodeInfo": {
+                "service": service,
+                "version": "v1",
+                "zone": zone,
+                "capacitySlots": slots,
             },
-            "status": {"state": state, "seq": 1, "warmupLeftS": 0},
-        }
+            "born": BORN_MS,
+        },
+        "status": {"state": state, "seq": 1, "warmupLeftS": 0},
+    }
 
 
 def make_configuration(
--- a/tests/adapter/test_cut_heads.py
+++ b/tests/adapter/test_cut_heads.py
@@ -10,6 +10,7 @@
 import curio
 import deployments
 import pytest
+import raw_servers
 
 import banyandale_adapter as adapter
 import banyandale_core as core
@@ -227,24 +228,9 @@
     )
 
 
-class CuttingService:
+class CuttingService(raw_servers.RawServer):
     """Reports that it is idle; cuts the answer to a call at the named byte."""
 
-    def __init__(self):
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=100)
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self):
-        while True:
-            try:
-                sock, _ = self._listener.accept()
-            except OSError:
-                return
-            threading.Thread(
-                target=self._serve, args=(sock,), daemon=True
-            ).start()
-
     def _serve(self, sock):
         with sock:
             try:
@@ -270,24 +256,6 @@
             linger = struct.pack("ii", 1, 0)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
-    def make_entry(self):
-        return {
-            "specification": {
-                "address": self.address,
-                "nodeInfo": {
-                    "service": "t",
-                    "version": "v1",
-                    "zone": "a",
-                    "capacitySlots": 9,
-                },
-                "born": 1_787_000_000_000,
-            },
-            "status": {"state": "ready", "seq": 1, "warmupLeftS": 0},
-        }
-
-    def close(self):
-        self._listener.close()
-
 
 def list_paths(route):
     """Returns paths of answers that are cut in each header."""
--- a/tests/adapter/test_endless_answers.py
+++ b/tests/adapter/test_endless_answers.py
@@ -2,12 +2,11 @@
 
 import json
 import pathlib
-import socket
-import threading
 
 import curio
 import deployments
 import pytest
+import raw_servers
 
 # Memory of the smallest VM on which a gateway runs.
 VM_BYTES = 200_000_000
@@ -31,27 +30,15 @@
 }
 
 
-class EndlessServer:
+class EndlessServer(raw_servers.RawServer):
     """Reports that it is idle and answers each call without end."""
 
     def __init__(self, name, first, repeated):
         self._name = name
         self._first = first
         self._repeated = repeated
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=100)
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         self.calls = 0
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self):
-        while True:
-            try:
-                sock, _ = self._listener.accept()
-            except OSError:
-                return
-            threading.Thread(
-                target=self._serve, args=(sock,), daemon=True
-            ).start()
+        super().__init__()
 
     def _serve(self, sock):
         with sock:
@@ -68,9 +55,6 @@
             except OSError:
                 return
 
-    def close(self):
-        self._listener.close()
-
 
 def read_peak_bytes(process):
     status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
@@ -86,19 +70,7 @@
     async def scenario(deployment, ip):
         endless = [EndlessServer(f"e-{n}", first, repeated) for n in range(2)]
         for server in endless:
-            entry = {
-                "specification": {
-                    "address": server.address,
-                    "nodeInfo": {
-                        "service": "t",
-                        "version": "v1",
-                        "zone": "a",
-                        "capacitySlots": 9,
-                    },
-                    "born": 1_787_000_000_000,
-                },
-                "status": {"state": "ready", "seq": 1, "warmupLeftS": 0},
-            }
+            entry = server.make_entry()
             await deployment.store.put("servers", server._name, entry)
         await deployments.wait_until(
             lambda: len(deployment.read_events(ip, "server_entry")) >= 2
--- a/tests/adapter/test_repeated_refusals.py
+++ b/tests/adapter/test_repeated_refusals.py
@@ -7,6 +7,7 @@
 import curio
 import deployments
 import pytest
+import raw_servers
 import standin
 
 import banyandale_adapter as adapter
@@ -221,7 +222,7 @@
         )
 
 
-class CopyingServer:
+class CopyingServer(raw_servers.RawServer):
     """Refuses some calls, and copies each refusal as the next call arrives.
 
     Attributes:
@@ -232,20 +233,7 @@
         self.name = name
         self.ran = []
         self._copies_after_report = copies_after_report
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=100)
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self):
-        while True:
-            try:
-                sock, _ = self._listener.accept()
-            except OSError:
-                return
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            threading.Thread(
-                target=self._serve, args=(sock,), daemon=True
-            ).start()
+        super().__init__()
 
     def _serve(self, sock):
         copy = b""
@@ -282,24 +270,6 @@
         sock.sendall(refusal)
         return refusal
 
-    def make_entry(self):
-        return {
-            "specification": {
-                "address": self.address,
-                "nodeInfo": {
-                    "service": "t",
-                    "version": "v1",
-                    "zone": "a",
-                    "capacitySlots": 9,
-                },
-                "born": 1_787_000_000_000,
-            },
-            "status": {"state": "ready", "seq": 1, "warmupLeftS": 0},
-        }
-
-    def close(self):
-        self._listener.close()
-
 
 def find_value(request, name):
     return request.partition(name + b": ")[2].partition(b"\r\n")[0]
