direct: a request that silences its servers costs three of them

What callers saw: one request, repeated with new ids, made 7 to 9 servers go dark where a crash that closes its connections costs 3; varied, up to 20, with a quarter of the other calls not served.

The first sends of crash-0 to crash-4 (0.00 to 1.00 s) ended by their limit 50 ms after the server had gone dark; none of them wrote crash_counted, the first line is that of crash-5 at 2.00 s. - sends began before the first one could be told: 13 sends by 2.00 s, among them hedges 0.45 s after each first send. - while nothing is known, each copy of the content goes to another server, so the cost grows with rate times the time until the first silence.

Ruled out: late news (told within 2 ms of being counted), lapses of entries (the counts were missing, not late).

Change: the first send of a content holds back its copies over the fleet until it has ended, unless a server has answered the content in the last minute (_first_sends decides, _send_permits asks by datagram: one for a content that is new to the gateway, a reply only if a copy is there). A call that ended without an answer is followed up: its servers are asked at once and once more after the longest time that the call could have lasted there (_silence). A hedge counts as a break of its own. Calls that wait for one content ask one after the other (_turns); one that too many unexplained breaks keep away is refused at once.

Tests: test_a_request_that_silences_servers_costs_three, six cases.

--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -28,7 +28,9 @@
 from banyandale_direct import _quarantine as quarantine
 from banyandale_direct import _registry as registry
 from banyandale_direct import _selection as selection
+from banyandale_direct import _send_permits as send_permits
 from banyandale_direct import _server_health as server_health
+from banyandale_direct import _silence as silence
 import banyandale_http as http
 
 # Additional attempts of a call that ended before anything was sent, because the
@@ -62,10 +64,13 @@
 # Retry delay of callers whose request crashes servers. Callers that wait this
 # long at most come back after the longest delay that they accept.
 CRASHING_RETRY_AFTER_SECONDS = 60.0
-# Servers of the same service that are asked when one has gone silent.
-COMPARED_SERVERS = 3
-# Longest time to find out that a server is silent and that others are not.
-SILENCE_CHECK_SECONDS = 2 * channels.REPORT_TIMEOUT_SECONDS
+# A server whose call has ended without an answer is asked once more after this
+# long, and after the time that the call could have lasted there: it may go
+# silent only then.
+AFTERMATH_SECONDS = 0.25
+# Time for which the first send of a content holds back its copies after its
+# server could be found silent.
+LEASE_MARGIN_SECONDS = 0.3
 # Callers rejected by a stopping gateway can retry elsewhere immediately.
 STOPPING_RETRY_AFTER_SECONDS = 0.0
 
@@ -130,6 +135,8 @@
     Attributes:
         open: Whether it has not ended yet.
         server_id: The chosen server; empty until one is chosen.
+        entry: Its entry, or None while there is none.
+        sent_at: Monotonic seconds when it was chosen.
         sent: Whether a byte may have reached the server.
         kind: Meaning of the server's response, or None without one.
         response: The complete response, if any.
@@ -148,6 +155,8 @@
 
     open: bool = True
     server_id: str = ""
+    entry: registry.Entry | None = None
+    sent_at: float = 0.0
     sent: bool = False
     kind: protocols.AnswerKind | None = None
     response: http.Response | None = None
@@ -165,6 +174,16 @@
     silenced: bool = False
     handed_over: bool = False
 
+    @property
+    def unanswered(self) -> bool:
+        """Whether a server has the call and has neither answered nor ended."""
+        return (
+            self.sent
+            and self.entry is not None
+            and self.kind is None
+            and self.error in (None, http.ResponseTimeoutError.code)
+        )
+
 
 class Exchange:
     """One call in progress."""
@@ -218,6 +237,10 @@
             answer_by=self._answer_by,
             can_hand_over=self._can_hand_over,
         )
+        self._silence = silence.SilenceCheck(shared=shared, service=service)
+        # Permission that keeps copies of the call away until it has ended.
+        self._permit = quarantine.UNSUSPECTED
+        self._asked: send_permits.Ask | None = None
         self._events: curio.Queue = curio.Queue()
         self._tried: set[str] = set()
         self._attempts: list[_Attempt] = []
@@ -267,6 +290,64 @@
             self._ended = True
             for task in self._tasks:
                 await task.cancel()
+            await self._conclude()
+
+    async def _conclude(self) -> None:
+        """Lets others send the content, once its servers are known to live."""
+        if self._asked is not None:
+            self._shared.quarantine.cancel_ask(self._asked)
+            self._asked = None
+        answered = any(a.kind in RUN_KINDS for a in self._attempts)
+        unanswered = [
+            attempt
+            for attempt in self._attempts
+            if attempt.unanswered
+            and attempt.permit.exclusive
+            and not attempt.silenced
+        ]
+        if answered or not unanswered:
+            await self._leave()
+        else:
+            await curio.spawn(self._watch_aftermath, unanswered, daemon=True)
+
+    async def _leave(self) -> None:
+        """Gives back the permission of this call's first sends."""
+        permit, self._permit = self._permit, quarantine.UNSUSPECTED
+        await self._shared.quarantine.release(permit)
+
+    async def _watch_aftermath(self, attempts: list[_Attempt]) -> None:
+        """Records servers that go silent right after the call has ended.
+
+        A server runs a call for up to the same time from its own send.
+        """
+        longest = self._answer_by - self._started_at
+        now = time.monotonic()
+        checks = [(now, attempt) for attempt in attempts]
+        checks += [
+            (max(now, attempt.sent_at + longest) + AFTERMATH_SECONDS, attempt)
+            for attempt in attempts
+        ]
+        try:
+            for check_at, attempt in sorted(checks, key=lambda check: check[0]):
+                if not attempt.silenced:
+                    await self._check_aftermath(attempt, check_at)
+            for attempt in attempts:
+                if attempt.permit.trial:
+                    await self._shared.quarantine.release(attempt.permit)
+            if not any(attempt.silenced for attempt in attempts):
+                await self._leave()
+        except Exception as error:  # The call itself has ended.
+            self._record_fault(error)
+
+    async def _check_aftermath(
+        self, attempt: _Attempt, check_at: float
+    ) -> None:
+        attempt.permit = await self._shared.quarantine.extend(
+            attempt.permit, check_at + silence.CHECK_SECONDS
+        )
+        await curio.sleep(max(check_at - time.monotonic(), 0.0))
+        if await self._silence.is_silent(attempt.entry, attempt.report):
+            await self._record_silence(attempt)
 
     async def abandon(self) -> None:
         """Ends the call because its caller has left."""
@@ -490,55 +571,139 @@
         )
 
     async def _attempt(self, attempt: _Attempt) -> None:
-        await self._shared.quarantine.catch_up()
+        quarantined = self._shared.quarantine
+        await quarantined.catch_up()
         if not self._is_suspect():
+            if not self._permit.exclusive:
+                self._asked = await quarantined.ask_first(
+                    self._call, lease_seconds=self._lease_seconds()
+                )
             await self._attempt_permitted(attempt)
             return
-        quarantined = self._shared.quarantine
-        work = self._shared.demands.find(self._route).work_seconds
+        if not any(a.open and a.sent for a in self._attempts):
+            await self._leave()
         permit = await quarantined.acquire(
             self._call,
-            lease_seconds=work * server_health.OVERDUE_FACTOR
-            + SILENCE_CHECK_SECONDS,
-            deadline=self._answer_by - work * admission.WORK_MARGIN,
+            lease_seconds=self._lease_seconds(),
+            deadline=self._latest_start(),
         )
         if permit is None:
-            attempt.refusal = quarantined.find_refusal(self._call)
-            attempt.wait_seconds = work
-            attempt.selection_fields = quarantined.describe(self._call)
+            self._refuse_suspect(attempt)
             return
         attempt.permit = permit
         try:
             await self._attempt_permitted(attempt)
         finally:
             # Also when cancelled: others wait for the permission.
-            await quarantined.release(attempt.permit)
+            if not attempt.unanswered:
+                await quarantined.release(attempt.permit)
+
+    def _lease_seconds(self) -> float:
+        """Returns for how long one send keeps copies away at first."""
+        work = self._shared.demands.find(self._route).work_seconds
+        return (
+            work * server_health.OVERDUE_FACTOR
+            + silence.CHECK_SECONDS
+            + LEASE_MARGIN_SECONDS
+        )
+
+    def _latest_start(self) -> float:
+        work = self._shared.demands.find(self._route).work_seconds
+        return self._answer_by - work * admission.WORK_MARGIN
+
+    def _refuse_suspect(self, attempt: _Attempt) -> None:
+        attempt.refusal = self._shared.quarantine.find_refusal(self._call)
+        attempt.wait_seconds = self._shared.demands.find(
+            self._route
+        ).work_seconds
+        attempt.selection_fields = self._shared.quarantine.describe(self._call)
+
+    async def _take_first(self, attempt: _Attempt) -> bool:
+        """Returns whether this call may be sent now, as far as is decided.
+
+        A hedge and a repeat share the permission of the call, and a hedge
+        counts as a break of its own.
+        """
+        if self._asked is not None:
+            asked, self._asked = self._asked, None
+            permit = await self._shared.quarantine.wait_first(asked)
+            if permit is None:
+                return False
+            self._permit = permit
+        if not attempt.permit.trial:
+            attempt.permit = dataclasses.replace(
+                self._permit,
+                order=sum(a.unanswered for a in self._attempts),
+            )
+        return True
+
+    async def _wait_for_copy(self) -> bool:
+        """Waits while a copy of the call is at a server."""
+        held_at = time.monotonic()
+        permit = await self._shared.quarantine.acquire_first(
+            self._call,
+            lease_seconds=self._lease_seconds(),
+            deadline=self._latest_start(),
+        )
+        self._shared.metrics.incr(
+            "first_sends:held" if permit is not None else "first_sends:refused"
+        )
+        self._shared.events.write(
+            "held_back",
+            request=self._call.id,
+            route=self._route.name,
+            content=fingerprints.compute_fingerprint(self._call).hex(),
+            seconds=round(time.monotonic() - held_at, 4),
+            outcome="refused" if permit is None else "sent",
+        )
+        if permit is None:
+            return False
+        self._permit = permit
+        return True
 
     async def _attempt_permitted(self, attempt: _Attempt) -> None:
+        probe = await self._choose_server(attempt)
+        if probe is None:
+            return
+        if not await self._take_first(attempt):
+            await self._shared.channels.release(probe)
+            if not await self._wait_for_copy():
+                self._refuse_suspect(attempt)
+                return
+            probe = await self._choose_server(attempt)
+            if probe is None:
+                return
+            await self._take_first(attempt)
+        if not attempt.permit.trial and self._is_suspect():
+            # A server has ended under the same content in the meantime.
+            attempt.error = "suspected"
+            await self._shared.channels.release(probe)
+            return
+        await self._send_to(attempt, probe)
+
+    async def _choose_server(self, attempt: _Attempt) -> channels.Probe | None:
+        """Chooses a server; None if the attempt has ended without one."""
         tried, first = frozenset(self._tried), len(self._attempts) == 1
         choice = await self._selection.choose(tried=tried, first=first)
         if not self._may_send():
             attempt.refusal = admission.Refusal.STOPPING
             if choice.probe is not None:
                 await self._shared.channels.release(choice.probe)
-            return
+            return None
         if choice.hand_over:
             if await self._hand_over(attempt):
-                return
+                return None
             choice = await self._selection.choose(
                 tried=tried, first=first, direct=True
             )
         attempt.refusal = choice.refusal
         attempt.wait_seconds = choice.wait_seconds
-        probe = choice.probe
-        if probe is None:
+        if choice.probe is None:
             attempt.selection_fields = choice.describe(now=time.monotonic())
-            return
-        if not attempt.permit.holder and self._is_suspect():
-            # A server has ended under the same content in the meantime.
-            attempt.error = "suspected"
-            await self._shared.channels.release(probe)
-            return
+        return choice.probe
+
+    async def _send_to(self, attempt: _Attempt, probe: channels.Probe) -> None:
+        """Sends the call to a server and records what became of it."""
         server = probe.candidate.entry.server
         attempt.server_id = server.id
         attempt.report = probe.candidate.report
@@ -548,16 +713,12 @@
         )
         health.in_flight += 1
         sent_at = time.monotonic()
+        attempt.entry = probe.candidate.entry
+        attempt.sent_at = sent_at
         self._log_placed(probe, sent_at)
         await self._plan_hedge(sent_at)
         attempt.waiting = True
-        watch = await curio.spawn(
-            self._watch_silence,
-            attempt,
-            probe.candidate.entry,
-            sent_at,
-            daemon=True,
-        )
+        watch = await curio.spawn(self._watch_silence, attempt, daemon=True)
         try:
             await self._send(attempt, probe)
         finally:
@@ -568,9 +729,7 @@
         self._record_outcome(attempt, server.id, time.monotonic() - sent_at)
         await self._record_evidence(attempt, server, time.monotonic() - sent_at)
 
-    async def _watch_silence(
-        self, attempt: _Attempt, entry: registry.Entry, sent_at: float
-    ) -> None:
+    async def _watch_silence(self, attempt: _Attempt) -> None:
         """Records that the call has silenced its server, once it has.
 
         The server is asked when the call is overdue, and then less and less
@@ -579,24 +738,22 @@
         try:
             check_at = max(
                 server_health.find_overdue_at(
-                    sent_at, expected_seconds=self._expect_seconds(attempt)
+                    attempt.sent_at,
+                    expected_seconds=self._expect_seconds(attempt),
                 ),
-                sent_at + channels.REPORT_TIMEOUT_SECONDS,
+                attempt.sent_at + channels.REPORT_TIMEOUT_SECONDS,
             )
-            while not await self._check_silence(attempt, entry, check_at):
-                check_at += check_at - sent_at
+            while not await self._check_silence(attempt, check_at):
+                check_at += check_at - attempt.sent_at
         except Exception as error:  # The call itself goes on.
             self._record_fault(error)
 
-    async def _check_silence(
-        self, attempt: _Attempt, entry: registry.Entry, check_at: float
-    ) -> bool:
+    async def _check_silence(self, attempt: _Attempt, check_at: float) -> bool:
         """Asks the server at some time; returns whether that was the last."""
         # Most calls are answered before their permission must be extended.
         await curio.sleep(max(check_at - time.monotonic(), 0.0) / 2)
-        await self._shared.quarantine.extend(
-            attempt.permit,
-            check_at + SILENCE_CHECK_SECONDS - time.monotonic(),
+        attempt.permit = await self._shared.quarantine.extend(
+            attempt.permit, check_at + silence.CHECK_SECONDS
         )
         await curio.sleep(max(check_at - time.monotonic(), 0.0))
         if not attempt.sent:
@@ -604,70 +761,39 @@
             return False
         attempt.checking = True
         try:
-            reports = await self._reports(entry)
-            silenced = crash_records.has_silenced(
-                reported_before=attempt.report is not None,
-                reports=reports,
-                others_report=not reports
-                and await self._others_report(entry.server),
+            silenced = await self._silence.is_silent(
+                attempt.entry, attempt.report
             )
             if silenced and attempt.kind is None:
-                await self._record_silence(attempt, entry.server)
+                await self._record_silence(attempt)
                 return True
         finally:
             attempt.checking = False
         return not attempt.waiting
 
-    async def _record_silence(
-        self, attempt: _Attempt, server: registry.Server
-    ) -> None:
+    async def _record_silence(self, attempt: _Attempt) -> None:
         """Records that the call has silenced its server, and hedges it."""
+        if attempt.silenced:
+            return
         permit = attempt.permit
         # It is held from here on, even if the call waits for much longer.
-        attempt.permit = dataclasses.replace(permit, holder="")
+        attempt.permit = dataclasses.replace(permit, number=0)
         attempt.silenced = True
+        if not permit.trial and not any(
+            a.unanswered and not a.silenced for a in self._attempts
+        ):
+            self._permit = quarantine.UNSUSPECTED
         await self._shared.quarantine.record_silence(
-            self._call, server, permit=permit
+            self._call,
+            attempt.entry.server,
+            permit=permit,
+            sent_at=attempt.sent_at,
+            waiting=attempt.waiting,
         )
-        if not permit.holder and len(self._attempts) == 1:
+        if not permit.trial and len(self._attempts) == 1 and not self._ended:
             self._hedge_at = time.monotonic()
             await self._events.put(_WakeReason.HEDGE_PLANNED)
 
-    async def _reports(self, entry: registry.Entry) -> bool:
-        """Returns whether a server reports to this gateway now."""
-        probe = await self._shared.channels.probe(
-            entry,
-            self._service,
-            local=False,
-            avoided=False,
-            deadline=time.monotonic() + channels.REPORT_TIMEOUT_SECONDS,
-        )
-        await self._shared.channels.release(probe)
-        report = probe.candidate.report
-        return report is not None and (
-            report.server_id in ("", entry.server.id)
-        )
-
-    async def _others_report(self, server: registry.Server) -> bool:
-        """Returns whether another server of the service reports now."""
-        now = time.monotonic()
-        others = {
-            entry.server.id: entry
-            for entry in self._shared.registry.find(self._service.name, now=now)
-            if entry.server.id != server.id
-        }
-        for server_id in self._shared.paths.list_unreached(
-            self._service.name, others, now=now
-        ):
-            del others[server_id]
-        asked = self._shared.random.sample(
-            list(others.values()), min(len(others), COMPARED_SERVERS)
-        )
-        async with curio.TaskGroup() as group:
-            for entry in asked:
-                await group.spawn(self._reports, entry)
-        return any(group.results)
-
     async def _record_evidence(
         self, attempt: _Attempt, server: registry.Server, seconds: float
     ) -> None:
@@ -717,6 +843,10 @@
         if receiver is None:
             return False
         # The receiver asks for permission itself.
+        if self._asked is not None:
+            self._shared.quarantine.cancel_ask(self._asked)
+            self._asked = None
+        await self._leave()
         await self._shared.quarantine.release(attempt.permit)
         attempt.permit = quarantine.UNSUSPECTED
         attempt.server_id = receiver.ip
@@ -816,7 +946,7 @@
     async def _plan_hedge(self, sent_at: float) -> None:
         if len(self._attempts) > 1 or not self._route.repeatable:
             return
-        if self._attempts[0].permit.holder:
+        if self._attempts[0].permit.trial:
             return
         demand = self._shared.demands.find(self._route)
         self._hedge_at = hedging.hedge_at(
--- a/libs/direct/tests/test_quarantine.py
+++ b/libs/direct/tests/test_quarantine.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+import types
 
 import curio
 import pytest
@@ -47,6 +48,23 @@
         return placement.LoadReport(healthy=True, server_id=server_id)
 
 
+class Store:
+    """The platform's store, which has the entry of the server.
+
+    Attributes:
+        down: Whether it answers no call.
+    """
+
+    down = False
+
+    async def get(self, *, kind, name):
+        if self.down:
+            raise platform.StoreUnavailableError("down")
+        return platform.StoredObject(
+            kind=kind, name=name, version=1, value=b"{}"
+        )
+
+
 class Listener:
     """A server's port, which answers while it is open.
 
@@ -100,11 +118,12 @@
             started_unix_ms=1,
         )
         self.put()
+        self.store = Store()
         self.quarantine = quarantine.Quarantine(
             crashes=self.crashes,
             table=members.MemberTable(
                 own=members.Member(
-                    ip="10.0.0.1",
+                    ip="127.0.0.1",
                     zone="a",
                     started_unix_ms=1,
                     beat=0,
@@ -113,13 +132,14 @@
                 random_source=random.Random(1),
             ),
             servers=self.servers,
-            store=None,
-            documents=None,
+            store=self.store,
+            documents=types.SimpleNamespace(server_kind="servers"),
             codec=Codec(),
             find_service=lambda name: configuration.Service(
                 name=name, health_path="/h", cold_calls_per_second=1.0
             ),
             peer_port=1,
+            permit_port=0,
             reads_store=lambda: False,
             events=Events(),
             metrics=core.MemoryMetrics(),
@@ -146,7 +166,13 @@
         )
 
     async def record_silence(self, permit=quarantine.UNSUSPECTED):
-        await self.quarantine.record_silence(CALL, self.server, permit=permit)
+        await self.quarantine.record_silence(
+            CALL,
+            self.server,
+            permit=permit,
+            sent_at=time.monotonic(),
+            waiting=True,
+        )
 
     async def acquire(self):
         return await self.quarantine.acquire(
@@ -163,7 +189,9 @@
             listener.server_id = server_id
             if ended:
                 await listener.close()
-            await scenario(World(listener.address))
+            world = World(listener.address)
+            world.listener = listener
+            await scenario(world)
 
     curio.run(main)
 
--- a/tests/adapter/deployments.py
+++ b/tests/adapter/deployments.py
@@ -78,6 +78,7 @@
         started.work_seconds = server.work_seconds
         started.crash_prefix = server.crash_prefix
         started.crashes_silently = server.crashes_silently
+        started.crash_seconds = server.crash_seconds
         await started.start("127.0.0.1:0")
         self.servers.append(started)
         await self.register(started)
--- a/tests/adapter/standin.py
+++ b/tests/adapter/standin.py
@@ -290,6 +290,7 @@
             it runs them; None for no requests.
         crashes_silently: Whether such a request leaves its connections open
             and hanging, and new ones too.
+        crash_seconds: Time for which it runs such a request before it crashes.
         crashing_at: Monotonic seconds at which it began such a request.
         ended_at: Monotonic seconds when it crashed, or None.
     """
@@ -311,6 +312,7 @@
         self.report_seconds = 0.0
         self.crash_prefix = None
         self.crashes_silently = False
+        self.crash_seconds = CRASH_SECONDS
         self.crashing_at = []
         self.ended_at = None
 
@@ -357,7 +359,7 @@
         self.executed_headers.append(dict(request.headers))
         if self.crash_prefix and request.target.startswith(self.crash_prefix):
             self.crashing_at.append(time.monotonic())
-            await curio.sleep(CRASH_SECONDS)
+            await curio.sleep(self.crash_seconds)
             if self.ended_at is None:
                 self.ended_at = time.monotonic()
                 if not self.crashes_silently:
--- a/tests/adapter/test_crashing_calls.py
+++ b/tests/adapter/test_crashing_calls.py
@@ -7,6 +7,7 @@
 
 import curio
 import deployments
+import pytest
 import standin
 
 GATEWAYS = ("127.0.7.1", "127.0.7.2", "127.0.7.3")
@@ -36,9 +37,19 @@
         silent: Whether servers go dark instead of ending their connections.
     """
 
-    def __init__(self, deployment, silent=False):
+    def __init__(
+        self,
+        deployment,
+        silent=False,
+        crash_seconds=standin.CRASH_SECONDS,
+        interval_seconds=CRASH_INTERVAL_SECONDS,
+        deadline_ms=2500,
+    ):
         self._deployment = deployment
         self.silent = silent
+        self._crash_seconds = crash_seconds
+        self._interval_seconds = interval_seconds
+        self._deadline_ms = deadline_ms
         self._names = itertools.count()
         self.running = True
         self.statuses = []
@@ -55,6 +66,7 @@
         for server in deployment.servers:
             server.crash_prefix = CRASHING_PATH.encode()
             server.crashes_silently = self.silent
+            server.crash_seconds = self._crash_seconds
             server.work_seconds = 0.02
 
     def ended(self):
@@ -90,7 +102,10 @@
     async def send_crashing(self, ip):
         sent_at = time.monotonic()
         response = await self._deployment.send(
-            ip, CRASHING_PATH, name=f"crash{next(self._names)}"
+            ip,
+            CRASHING_PATH,
+            name=f"crash{next(self._names)}",
+            deadline_ms=self._deadline_ms,
         )
         self.statuses.append(response.status)
         self.seconds.append(time.monotonic() - sent_at)
@@ -118,7 +133,7 @@
             if time.monotonic() >= until:
                 break
             tasks.append(await curio.spawn(self.send_crashing, ip))
-            await curio.sleep(CRASH_INTERVAL_SECONDS)
+            await curio.sleep(self._interval_seconds)
         for task in tasks:
             await task.join()
 
@@ -155,21 +170,24 @@
     deployments.run(tmp_path, scenario, GATEWAYS)
 
 
-def test_a_request_that_silences_servers_is_held_back(tmp_path):
-    """Guards against evidence that waits for the entry of a silent server."""
+def run_silencing(tmp_path, *, disturb=None, **load_fields):
+    """Runs a request that silences its servers, and checks what it costs."""
 
     async def scenario(deployment, *ips):
-        load = CrashingLoad(deployment, silent=True)
+        load = CrashingLoad(deployment, silent=True, **load_fields)
         await load.add_servers(12)
         await load.spawn_ordinary(ips)
         await curio.sleep(0.5)
+        if disturb is not None:
+            await curio.spawn(disturb, deployment, daemon=True)
         await load.send_for(ips, 5 * CONTACT_SECONDS)
         load.running = False
         ended = load.ended()
+        assert len(ended) == CERTAIN_AFTER
         late_from = ended[CERTAIN_AFTER - 1] + CONTACT_SECONDS
         late = [at for at in load.sent() if at > late_from]
         assert len(late) <= LATE_SENDS
-        # It is certain in the end: refused at once, and sent no more.
+        # It is refused at once in the end, and sent no more.
         assert set(load.statuses[-10:]) == {503}
         assert max(load.seconds[-10:]) < 0.1
         for statuses in load.ordinary.values():
@@ -179,6 +197,24 @@
     deployments.run(tmp_path, scenario, GATEWAYS)
 
 
+@pytest.mark.parametrize("crash_seconds", [0.04, 1.15, 1.25])
+@pytest.mark.parametrize("interval_seconds", [0.2, 0.05])
+def test_a_request_that_silences_servers_costs_three(
+    tmp_path, crash_seconds, interval_seconds
+):
+    """Guards against copies that are sent before the first silence is known.
+
+    The server goes dark at once, or right before or after the limit of the call
+    (1.2 s).
+    """
+    run_silencing(
+        tmp_path,
+        crash_seconds=crash_seconds,
+        interval_seconds=interval_seconds,
+        deadline_ms=1300,
+    )
+
+
 def test_a_crashing_request_is_known_after_the_loss_of_all_gateways(tmp_path):
     """Guards against evidence that ends with the processes."""
 
