direct: a silent server stays evidence while the store is down

What callers saw: with the store down, a request that silences its servers came back 8 s after each silence.

Cause: a server that is still registered 8 s after its silence was taken for alive. While the store is down nobody can remove its entry.

Change: the gateway that decides about the content asks the store for the entry then; only an answer of the store, or a report of the server itself, ends the suspicion.

The check that a registered server is no evidence stays, with a store that answers.

--- a/libs/direct/src/banyandale_direct/_quarantine.py
+++ b/libs/direct/src/banyandale_direct/_quarantine.py
@@ -820,15 +820,28 @@
             return crash_records.CrashState.CONFIRMED
         if now <= crash.broke_at + ALIVE_SECONDS:
             return crash.state
-        if crash.state is crash_records.CrashState.BROKEN:
+        if not self._decides(fingerprint):
+            return crash.state
+        if crash.state is crash_records.CrashState.BROKEN and (
+            await self._is_in_store(server)
+        ):
             return crash_records.CrashState.ALIVE
         # The entry alone says little while the store is down.
-        if self._decides(fingerprint) and (
-            await self._has_ended(server) is False
-        ):
+        if await self._has_ended(server) is False:
             return crash_records.CrashState.ALIVE
         return crash.state
 
+    async def _is_in_store(self, server: registry.Server) -> bool:
+        """Returns whether the store has the server's entry now."""
+        kind = self._documents.server_kind
+        self._metrics.incr(f"store_calls:get.{kind}")
+        try:
+            found = await self._store.get(kind=kind, name=server.id)
+        except platform.PlatformError as error:
+            self._metrics.incr(f"crash_store_failed:{error.code}")
+            return False
+        return found is not None
+
     async def _store_records(self) -> None:
         """Writes the records for whose contents this gateway decides."""
         for fingerprint in tuple(self._to_delete):
--- a/libs/direct/tests/test_quarantine.py
+++ b/libs/direct/tests/test_quarantine.py
@@ -297,6 +297,25 @@
     run_world(scenario, ended=False, server_id=None)
 
 
+def test_a_silent_server_counts_while_the_store_cannot_tell(monkeypatch):
+    """Guards against entries that stay since nobody could remove them."""
+    now = core.boot_seconds()
+    clock = [now]
+    monkeypatch.setattr(core, "boot_seconds", lambda: clock[0])
+
+    async def scenario(world):
+        world.store.down = True
+        await world.record_silence()
+        clock[0] = now + 2 * quarantine.ALIVE_SECONDS
+        await world.quarantine._settle()
+        assert world.suspicion() is SUSPECT
+        world.listener.server_id = "i"
+        await world.quarantine._settle()
+        assert world.suspicion() is NONE
+
+    run_world(scenario, ended=False, server_id=None)
+
+
 def test_a_silent_server_that_leaves_is_no_evidence():
     async def scenario(world):
         world.put(leaving=True)
--- a/tests/adapter/test_crashing_calls.py
+++ b/tests/adapter/test_crashing_calls.py
@@ -215,6 +215,16 @@
     )
 
 
+def test_silenced_servers_count_while_the_store_is_down(tmp_path):
+    """Guards against entries that stay since nobody could remove them."""
+
+    async def stop_store(deployment):
+        await curio.sleep(0.2)
+        deployment.store.refusing = True
+
+    run_silencing(tmp_path, disturb=stop_store)
+
+
 def test_a_crashing_request_is_known_after_the_loss_of_all_gateways(tmp_path):
     """Guards against evidence that ends with the processes."""
 
