gateway: a planned stop ends within its grace time and logs what it cuts

What callers and operators saw: a stop took up to 63 s whatever time the platform gave it, and a call that was still open then ended without a line.

Cause: MAX_DRAIN_SECONDS, a constant, in place of the time until SIGKILL.

Change: setting grace_seconds (default 60); the gateway leaves one second before the kill, logs and counts (calls_cut) each call that is still open, and gives up the release of its lease if the platform does not answer.

Test: test_a_stop_ends_within_its_grace_time. With the deadline of before it fails (no line about the call).

--- a/libs/app/src/banyandale/_gateway_command.py
+++ b/libs/app/src/banyandale/_gateway_command.py
@@ -25,6 +25,7 @@
         peers=tuple(filter(None, loaded.peers.split(","))),
         routing=gateway.Routing(loaded.routing),
         policy=loaded.policy,
+        grace_seconds=loaded.grace_seconds,
         statsd=loaded.statsd,
     )
 
--- a/libs/app/src/banyandale/_settings.py
+++ b/libs/app/src/banyandale/_settings.py
@@ -139,6 +139,12 @@
             description="how the backend server of a call is chosen",
         )
     )
+    grace_seconds: float = pydantic.Field(
+        default=60.0,
+        ge=2.0,
+        le=3600.0,
+        description="seconds from SIGTERM until the process is killed",
+    )
     statsd: Address | None = pydantic.Field(
         default=None, description="ip:port of the statsd server"
     )
--- a/libs/gateway/src/banyandale_gateway/_callers.py
+++ b/libs/gateway/src/banyandale_gateway/_callers.py
@@ -55,6 +55,7 @@
     connection: http.ServerConnection
     task: curio.Task
     started_at: float
+    target: str
 
 
 class CallerServer:
@@ -122,6 +123,17 @@
         for connection in self._connections:
             connection.close_after_response()
 
+    def log_cut_calls(self) -> None:
+        """Logs and counts the calls that the end of the process will cut."""
+        now = time.monotonic()
+        for active in self._active.values():
+            self._metrics.incr("calls_cut")
+            logging.warning(
+                "call %s is cut after %.3f s as the gateway exits",
+                active.target,
+                now - active.started_at,
+            )
+
     async def _cancel_disconnected_calls(self) -> None:
         while True:
             await curio.sleep(DISCONNECT_CHECK_SECONDS)
@@ -174,7 +186,10 @@
         if request is None:
             return False
         self._active[id(connection)] = _ActiveCall(
-            connection=connection, task=task, started_at=time.monotonic()
+            connection=connection,
+            task=task,
+            started_at=time.monotonic(),
+            target=request.target.decode("latin-1"),
         )
         try:
             await self._respond(connection, request)
--- a/libs/gateway/src/banyandale_gateway/_gateway.py
+++ b/libs/gateway/src/banyandale_gateway/_gateway.py
@@ -44,7 +44,9 @@
 # A graceful shutdown keeps serving until every lookup that contains this
 # gateway has expired, plus a margin for callers whose clocks are slow.
 DRAIN_SECONDS = lookup.LOOKUP_TTL_SECONDS + 1.0
-MAX_DRAIN_SECONDS = 60.0
+# Time before SIGKILL in which the links to peers are closed and the lease is
+# released.
+EXIT_MARGIN_SECONDS = 1.0
 DRAIN_POLL_SECONDS = 0.05
 
 POLICIES = {
@@ -399,17 +401,22 @@
         """Hands over homes, finishes active calls and releases the lease."""
         logging.info("gateway %s is leaving", self._settings.gateway_id)
         self._membership.leaving = True
-        until = time.monotonic() + DRAIN_SECONDS
+        signalled_at = time.monotonic()
+        exit_at = (
+            signalled_at + self._settings.grace_seconds - EXIT_MARGIN_SECONDS
+        )
+        until = min(signalled_at + DRAIN_SECONDS, exit_at)
         await self._wait_for_cold_requests(until)
         await self._lease_keeper.leave()
         while time.monotonic() < until:
             await curio.sleep(DRAIN_POLL_SECONDS)
         self._callers.drain()
-        limit = time.monotonic() + MAX_DRAIN_SECONDS
-        while not self._callers.is_drained and time.monotonic() < limit:
+        while not self._callers.is_drained and time.monotonic() < exit_at:
             await curio.sleep(DRAIN_POLL_SECONDS)
-        await self._peer_node.stop(deadline=limit)
-        await self._lease_keeper.release()
+        self._callers.log_cut_calls()
+        await self._peer_node.stop(deadline=exit_at)
+        async with curio.ignore_after(EXIT_MARGIN_SECONDS / 2):
+            await self._lease_keeper.release()
         logging.info("gateway %s stopped", self._settings.gateway_id)
 
     async def _wait_for_cold_requests(self, until: float) -> None:
--- a/libs/gateway/src/banyandale_gateway/_settings.py
+++ b/libs/gateway/src/banyandale_gateway/_settings.py
@@ -34,6 +34,7 @@
             down.
         routing: How requests are dispatched to backend servers.
         policy: Name of the load-balancing policy of the dispatchers.
+        grace_seconds: Time from SIGTERM until the process is killed.
         statsd: `ip:port` of the statsd server, or None.
     """
 
@@ -49,4 +50,5 @@
     peers: tuple[str, ...] = ()
     routing: Routing = Routing.HOME
     policy: str = "least_loaded"
+    grace_seconds: float = 60.0
     statsd: str | None = None
--- a/libs/standins/src/banyandale_standins/_system.py
+++ b/libs/standins/src/banyandale_standins/_system.py
@@ -41,10 +41,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Variant:
-    """How the gateways of a system choose servers."""
+    """How the gateways of a system run.
+
+    Attributes:
+        routing: How calls are dispatched.
+        policy: How servers are chosen.
+        grace_seconds: Time from SIGTERM until a gateway is killed.
+    """
 
     routing: str = "home"
     policy: str = "least_loaded"
+    grace_seconds: float = 60.0
 
     @property
     def name(self) -> str:
@@ -146,6 +153,7 @@
             "PEER_SECRET": deployments.PEER_SECRET,
             "ROUTING": self._variant.routing,
             "POLICY": self._variant.policy,
+            "GRACE_SECONDS": str(self._variant.grace_seconds),
             "SOURCE": gateway.ip,
             "PEERS": ",".join(peers),
         }
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -6,6 +6,7 @@
 import zlib
 
 import curio
+import pytest
 
 import banyandale_http as http
 import banyandale_standins as standins
@@ -18,6 +19,7 @@
 # Time after which a lease expires that is not renewed.
 LEASE_SECONDS = 3.0
 STOP_SECONDS = 20.0
+GRACE_SECONDS = 4.0
 BURST_CALLS = 30
 # Far larger than all socket buffers on the path, and read so slowly that the
 # gateway must keep running for it after lookups have expired.
@@ -44,7 +46,7 @@
 ).start_warm()
 
 
-async def read_slowly(gateway, started):
+async def read_slowly(gateway, started, bytes_per_second=READ_BYTES_PER_SECOND):
     """Reads a long response slowly; returns the seconds that this took.
 
     Fails unless the body is complete.
@@ -68,7 +70,7 @@
         await started.set()
         chunks.append(chunk)
         size += len(chunk)
-        due = begin + size / READ_BYTES_PER_SECOND
+        due = begin + size / bytes_per_second
         await curio.sleep(max(due - time.monotonic(), 0.0))
     await connection.close()
     line, _, body = b"".join(chunks).partition(b"\n")
@@ -105,6 +107,45 @@
     return count
 
 
+def test_a_stop_ends_within_its_grace_time(tmp_path):
+    """Guards against a stop that the platform ends, without a line in the log.
+
+    The caller reads its response for longer than the grace time.
+    """
+
+    async def scenario(cluster):
+        home = await cluster.wait_for_home("archive", ZONE)
+        started = curio.Event()
+        stream = await curio.spawn(
+            read_slowly, home, started, READ_BYTES_PER_SECOND / 2
+        )
+        await started.wait()
+        stopped_at = time.monotonic()
+        cluster.system.processes.signal(home.name, signal.SIGTERM)
+
+        async def has_ended():
+            return not cluster.system.processes.is_running(home.name)
+
+        await cluster.wait_for(has_ended, seconds=GRACE_SECONDS)
+        assert time.monotonic() - stopped_at < GRACE_SECONDS
+        status = cluster.system.processes.wait(
+            home.name, deadline=time.monotonic() + 1
+        )
+        assert status == 0
+        assert "call /long is cut" in cluster.system.processes.read_log(
+            home.name
+        )
+        with pytest.raises(curio.TaskError):
+            await stream.join()
+
+    clusters.run(
+        tmp_path,
+        scenario,
+        deployment=DEPLOYMENT,
+        variant=standins.Variant(grace_seconds=GRACE_SECONDS),
+    )
+
+
 def test_stop_cuts_no_request(tmp_path):
     """Guards against requests that a planned stop aborts.
 
