direct: copies wait for the decision, also of another gateway, for longer

Change: the decision is waited for beside the load reports; leases last longer at first and are extended by datagram; a copy that waits is given more time; a gateway that does not answer is replaced by the next for 3 s.

A failed try, not kept: telling the new process of open sends every 0.1 s cost 7, 6 and 7.

--- a/libs/direct/src/banyandale_direct/_first_sends.py
+++ b/libs/direct/src/banyandale_direct/_first_sends.py
@@ -4,9 +4,7 @@
 comes again and again at all gateways meanwhile. Nothing is known against it
 until its first server has gone dark, and each copy that is sent until then
 costs another one. So the first send of a content holds back its copies until it
-has ended. A content that a server has answered is sent without restriction. A
-content that is new to a gateway is sent without waiting for the decision, since
-few contents come twice, and a load report is outdated after milliseconds.
+has ended. A content that a server has answered is sent without restriction.
 """
 
 import collections
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -64,13 +64,13 @@
 # Retry delay of callers whose request crashes servers. Callers that wait this
 # long at most come back after the longest delay that they accept.
 CRASHING_RETRY_AFTER_SECONDS = 60.0
+# Multiple of the time after which a call is overdue for which its permission
+# holds at first, so that few calls must extend it.
+LEASE_OVERDUES = 2
 # A server whose call has ended without an answer is asked once more after this
 # long, and after the time that the call could have lasted there: it may go
 # silent only then.
 AFTERMATH_SECONDS = 0.25
-# Time for which the first send of a content holds back its copies after its
-# server could be found silent.
-LEASE_MARGIN_SECONDS = 0.3
 # Callers rejected by a stopping gateway can retry elsewhere immediately.
 STOPPING_RETRY_AFTER_SECONDS = 0.0
 
@@ -602,9 +602,8 @@
         """Returns for how long one send keeps copies away at first."""
         work = self._shared.demands.find(self._route).work_seconds
         return (
-            work * server_health.OVERDUE_FACTOR
+            LEASE_OVERDUES * work * server_health.OVERDUE_FACTOR
             + silence.CHECK_SECONDS
-            + LEASE_MARGIN_SECONDS
         )
 
     def _latest_start(self) -> float:
--- a/libs/direct/src/banyandale_direct/_quarantine.py
+++ b/libs/direct/src/banyandale_direct/_quarantine.py
@@ -47,8 +47,6 @@
 MAX_ANSWER_BYTES = 65536
 # Interval between requests for permission while another send is in progress.
 RETRY_SECONDS = 0.03
-# Number of gateways that are asked, the first reachable one decides.
-DECIDING_GATEWAYS = 2
 # After a trial that broke its connection, the next one waits this long, or
 # until the server is known to have ended.
 HOLD_SECONDS = 1.5
@@ -168,7 +166,6 @@
         self._metrics = metrics
         self._rejections = rejections.Rejections(events=events, metrics=metrics)
         self._answered = first_sends.RecentContents()
-        self._seen = first_sends.RecentContents()
         self._decider = first_sends.Decider(
             crashes=crashes,
             leases=crash_records.TrialLeases(),
@@ -177,7 +174,7 @@
         self._permits = send_permits.SendPermits(
             own_ip=table.own.ip,
             port=permit_port,
-            find_decider=self._find_decider,
+            list_deciders=self._list_deciders,
             decider=self._decider,
             answered=self._answered,
             events=events,
@@ -275,7 +272,11 @@
             await curio.sleep(RETRY_SECONDS)
 
     async def ask_first(
-        self, call: protocols.Call, *, lease_seconds: float
+        self,
+        call: protocols.Call,
+        *,
+        lease_seconds: float,
+        wait_seconds: float = send_permits.DECISION_SECONDS,
     ) -> send_permits.Ask | None:
         """Asks whether a call is the only one of its content in progress.
 
@@ -283,30 +284,36 @@
             call: The call, which is no suspect.
             lease_seconds: Time after which another send of the same content
                 may begin, if this one has not ended.
+            wait_seconds: Longest wait for the decision.
 
         Returns:
             The question for `wait_first`, or None if the content was answered
             lately, so that it needs no permission.
         """
         fingerprint = fingerprints.compute_fingerprint(call)
-        now = core.boot_seconds()
-        if self._answered.contains(fingerprint, now=now):
+        if self._answered.contains(fingerprint, now=core.boot_seconds()):
             return None
-        new = not self._seen.contains(fingerprint, now=now)
-        self._seen.add(fingerprint, now=now)
         return await self._permits.ask(
             fingerprint,
             number=self._permits.draw_number(),
             lease_seconds=lease_seconds,
-            new=new,
+            wait_seconds=wait_seconds,
         )
 
     async def wait_first(self, asked: send_permits.Ask) -> Permit | None:
         """Returns the permission asked for; None if another send has it.
 
-        Without a decision the call is sent: no evidence speaks against it.
+        A gateway that does not answer is replaced by the next one. Without any
+        decision the call is sent: no evidence speaks against it.
         """
         decision = await self._permits.wait(asked)
+        if decision is None:
+            asked = await self._permits.ask(
+                asked.fingerprint,
+                number=asked.number,
+                lease_seconds=asked.lease_until - time.monotonic(),
+            )
+            decision = await self._permits.wait(asked)
         if decision is first_sends.Decision.BUSY:
             self.cancel_ask(asked)
             return None
@@ -337,7 +344,11 @@
             return None
         try:
             while self.suspicion(call) is crash_records.Suspicion.NONE:
-                asked = await self.ask_first(call, lease_seconds=lease_seconds)
+                asked = await self.ask_first(
+                    call,
+                    lease_seconds=lease_seconds,
+                    wait_seconds=send_permits.REPEATED_DECISION_SECONDS,
+                )
                 if asked is None:
                     return UNSUSPECTED
                 permit = await self.wait_first(asked)
@@ -375,13 +386,19 @@
     ) -> Permit | None:
         """Asks for permission to send a suspect; None if another has it."""
         asked = await self._permits.ask(
-            fingerprint, number=number, lease_seconds=lease_seconds, trial=True
+            fingerprint,
+            number=number,
+            lease_seconds=lease_seconds,
+            trial=True,
+            wait_seconds=send_permits.REPEATED_DECISION_SECONDS,
         )
         if await self._permits.wait(asked) is first_sends.Decision.BUSY:
             self._metrics.incr("trials:busy")
             return None
         # The decider's records come with the second answer.
-        for ip in self._list_deciders(fingerprint)[:DECIDING_GATEWAYS]:
+        for ip in self._list_deciders(fingerprint)[
+            : send_permits.DECIDING_GATEWAYS
+        ]:
             permit = Permit(
                 fingerprint=fingerprint,
                 number=number,
@@ -624,8 +641,8 @@
         self._unexplained.append(_Break(fingerprint=fingerprint, crash=crash))
         # Another break in a row changes no count yet.
         await self._tell.set()
-        hold_until = time.monotonic() + HOLD_SECONDS
-        await self.extend(permit, hold_until)
+        if permit.exclusive:
+            await self._ask_decider(permit, HOLD_SECONDS)
 
     async def extend(self, permit: Permit, until: float) -> Permit:
         """Keeps other sends of a content away until then.
@@ -640,7 +657,12 @@
         seconds = until - time.monotonic()
         if not permit.exclusive or permit.until >= until or seconds <= 0:
             return permit
-        await self._ask_decider(permit, seconds)
+        await self._permits.ask(
+            permit.fingerprint,
+            number=permit.number,
+            lease_seconds=seconds,
+            trial=True,
+        )
         return dataclasses.replace(permit, until=until)
 
     async def _has_ended(self, server: registry.Server) -> bool | None:
--- a/libs/direct/src/banyandale_direct/_send_permits.py
+++ b/libs/direct/src/banyandale_direct/_send_permits.py
@@ -1,7 +1,6 @@
 """Asks other gateways by datagram whether a content may be sent.
 
-Few contents come twice, so a first send costs one datagram: it gets a reply
-only if a copy was there before, and its end is told only if a copy asks.
+Few contents come twice, so the end of a send is told only if a copy asks.
 """
 
 from collections.abc import Callable
@@ -20,11 +19,17 @@
 from banyandale_direct import _first_sends as first_sends
 
 MAX_DATAGRAM_BYTES = 512
-# Longest wait for a decision: a round trip of at most 8 ms and two wake-ups.
-# Without one the call is sent.
-DECISION_SECONDS = 0.02
-# A gateway that did not answer is not waited for again for this long.
-UNANSWERED_PAUSE_SECONDS = 1.0
+# Longest wait of a first send for its decision: a round trip of at most 8 ms
+# and two wake-ups. Without one the call is sent.
+DECISION_SECONDS = 0.03
+# Longest wait of a send that is known to have a copy; by then the gateway that
+# decides has ended.
+REPEATED_DECISION_SECONDS = 0.25
+# A gateway that did not answer is not asked for this long, unless it is heard
+# of. By then the others no longer count it as live.
+SILENT_SECONDS = 3.0
+# Gateways of which the first that is not silent decides.
+DECIDING_GATEWAYS = 2
 # Longest lease of a send in progress, which its holder extends.
 MAX_LEASE_SECONDS = 10.0
 # A send counts as ended after this long.
@@ -34,15 +39,13 @@
 # Decision and number of the send.
 _DECISION = struct.Struct("!BQ")
 (
-    # A first send, which gets no reply if it may begin.
     _ASK,
-    _ASK_AGAIN,
     _ASK_TRIAL,
     # Asks the holder of a lease whether its send has ended.
     _CHECK,
     _ENDED,
     _ENDED_ANSWERED,
-) = range(16, 22)
+) = range(16, 21)
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -76,7 +79,7 @@
         *,
         own_ip: str,
         port: int,
-        find_decider: Callable[[bytes], str],
+        list_deciders: Callable[[bytes], list[str]],
         decider: first_sends.Decider,
         answered: first_sends.RecentContents,
         events: core.EventLog,
@@ -87,7 +90,8 @@
         Args:
             own_ip: IP address of this gateway.
             port: UDP port of all gateways for these datagrams.
-            find_decider: Returns which gateway decides about a content.
+            list_deciders: Returns the gateways in the order in which they
+                decide about a content.
             decider: Decides about the contents assigned to this gateway.
             answered: Contents that need no permission.
             events: Log of the process.
@@ -95,7 +99,7 @@
         """
         self._own_ip = own_ip
         self._port = port
-        self._find_decider = find_decider
+        self._list_deciders = list_deciders
         self._decider = decider
         self._answered = answered
         self._events = events
@@ -107,7 +111,8 @@
         # oldest first, and questions without a decision.
         self._open: dict[int, float] = {}
         self._asks: dict[int, Ask] = {}
-        self._unanswered_until: dict[str, float] = {}
+        # Monotonic time until which a gateway is not asked.
+        self._silent_until: dict[str, float] = {}
         sock = curio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.bind((own_ip, port))
         self._sock: curio.io.Socket = sock
@@ -131,7 +136,7 @@
         number: int,
         lease_seconds: float,
         trial: bool = False,
-        new: bool = False,
+        wait_seconds: float = DECISION_SECONDS,
     ) -> Ask:
         """Asks whether a send may begin; `wait` returns the decision.
 
@@ -140,16 +145,15 @@
             number: Number of the send.
             lease_seconds: Time after which other sends may begin.
             trial: Whether the content is a suspect.
-            new: Whether it is new to this gateway. Then the send need not wait
-                for the decision.
+            wait_seconds: Longest wait for the decision.
         """
         now = time.monotonic()
         lease_seconds = min(lease_seconds, MAX_LEASE_SECONDS)
         asked = Ask(
             fingerprint=fingerprint,
             number=number,
-            ip=self._find_decider(fingerprint),
-            decide_by=now if new else now + DECISION_SECONDS,
+            ip=self._choose_decider(fingerprint, now),
+            decide_by=now + wait_seconds,
             lease_until=now + lease_seconds,
         )
         if asked.ip == self._own_ip:
@@ -159,15 +163,12 @@
             if asked.decision is first_sends.Decision.BUSY:
                 await self._check_holder(fingerprint)
             return asked
-        if self._unanswered_until.get(asked.ip, now) > now:
-            asked.decide_by = now
         self._asks[number] = asked
         self._keep_open(number, now)
-        kind = _ASK if new else _ASK_AGAIN
         await self.send_bytes(
             asked.ip,
             _REQUEST.pack(
-                _ASK_TRIAL if trial else kind,
+                _ASK_TRIAL if trial else _ASK,
                 fingerprint,
                 number,
                 int(lease_seconds * core.MILLISECONDS_PER_SECOND),
@@ -175,6 +176,13 @@
         )
         return asked
 
+    def _choose_decider(self, fingerprint: bytes, now: float) -> str:
+        deciders = self._list_deciders(fingerprint)
+        for ip in deciders[:DECIDING_GATEWAYS]:
+            if self._silent_until.get(ip, now) <= now:
+                return ip
+        return deciders[0]
+
     def _keep_open(self, number: int, now: float) -> None:
         """Remembers a send; one that silenced its server is never ended."""
         self._open[number] = now + OPEN_SECONDS
@@ -186,7 +194,7 @@
     async def wait(self, asked: Ask) -> first_sends.Decision | None:
         """Returns the decision about a send, or None without an answer.
 
-        A decision that is not waited for still takes effect when it arrives.
+        A decision that comes too late still takes effect when it arrives.
         """
         left = asked.decide_by - time.monotonic()
         if asked.decision is None and left > 0:
@@ -194,9 +202,7 @@
                 await asked.decided.wait()
             if asked.decision is None:
                 self._metrics.incr("first_sends:unanswered")
-                self._unanswered_until[asked.ip] = (
-                    time.monotonic() + UNANSWERED_PAUSE_SECONDS
-                )
+                self._silent_until[asked.ip] = time.monotonic() + SILENT_SECONDS
         return asked.decision
 
     def end(self, fingerprint: bytes, *, number: int, ip: str) -> None:
@@ -210,6 +216,7 @@
         """Receives questions and decisions in an endless loop."""
         while True:
             data, (ip, _) = await self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+            self._silent_until.pop(ip, None)
             if len(data) == _DECISION.size:
                 await self._receive_decision(data)
             elif len(data) == _REQUEST.size:
@@ -228,7 +235,6 @@
         if asked is None:
             return
         self._metrics.incr(f"first_sends:{decision.name.lower()}")
-        self._unanswered_until.pop(asked.ip, None)
         asked.decision = decision
         if decision is first_sends.Decision.ANSWERED:
             self._answered.add(asked.fingerprint, now=core.boot_seconds())
@@ -236,7 +242,7 @@
 
     async def _receive_request(self, data: bytes, ip: str) -> None:
         kind, fingerprint, number, lease_ms = _REQUEST.unpack(data)
-        if kind in (_ASK, _ASK_AGAIN, _ASK_TRIAL):
+        if kind in (_ASK, _ASK_TRIAL):
             seconds = lease_ms / core.MILLISECONDS_PER_SECOND
             decision = self._decide(
                 fingerprint,
@@ -245,8 +251,7 @@
                 min(seconds, MAX_LEASE_SECONDS),
                 kind == _ASK_TRIAL,
             )
-            if decision is not first_sends.Decision.GRANTED or kind != _ASK:
-                await self.send_bytes(ip, _DECISION.pack(decision, number))
+            await self.send_bytes(ip, _DECISION.pack(decision, number))
             if decision is first_sends.Decision.BUSY:
                 await self._check_holder(fingerprint)
         elif kind == _CHECK:
--- a/libs/direct/src/banyandale_direct/_silence.py
+++ b/libs/direct/src/banyandale_direct/_silence.py
@@ -13,8 +13,9 @@
 
 # Servers of the same service that are asked when one has gone silent.
 COMPARED_SERVERS = 3
-# Longest time to find out that a server is silent and that others are not.
-CHECK_SECONDS = 2 * channels.REPORT_TIMEOUT_SECONDS
+# Longest time to find out that a server is silent and that others are not, and
+# to tell it.
+CHECK_SECONDS = 2 * channels.REPORT_TIMEOUT_SECONDS + 0.3
 
 
 class SilenceCheck:
@@ -82,4 +83,8 @@
         async with curio.TaskGroup() as group:
             for entry in asked:
                 await group.spawn(self._reports, entry)
-        return any(group.results)
+            async for task in group:
+                if task.result:
+                    await group.cancel_remaining()
+                    return True
+        return False
