direct: copies wait only for calls that callers repeat, and until the head

Cause: the permission of a first send was asked for on every route, and held until the whole answer was there. A caller does not repeat a call that may have run, so two such calls with the same content are two calls.

--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -57,6 +57,7 @@
 RUN_KINDS = frozenset(
     {protocols.AnswerKind.SERVED, protocols.AnswerKind.FAILED}
 )
+SUCCESS_STATUSES = range(200, 300)
 # Failures with which the connection to the server ended.
 BROKEN_CODES = frozenset(
     {http.TruncatedResponseError.code, http.SendError.code}
@@ -574,7 +575,9 @@
         quarantined = self._shared.quarantine
         await quarantined.catch_up()
         if not self._is_suspect():
-            if not self._permit.exclusive:
+            # Callers do not repeat other calls, so that two of the same content
+            # are two calls of their own.
+            if self._route.repeatable and not self._permit.exclusive:
                 self._asked = await quarantined.ask_first(
                     self._call, lease_seconds=self._lease_seconds()
                 )
@@ -1103,7 +1106,10 @@
             )
 
     def _is_own(self, head: http.ResponseHead) -> bool:
-        return self._shared.codec.matches_call(self._call, head)
+        matches = self._shared.codec.matches_call(self._call, head)
+        if matches and head.status in SUCCESS_STATUSES:
+            self._shared.quarantine.record_response(self._call)
+        return matches
 
     def _record_outcome(
         self, attempt: _Attempt, server_id: str, seconds: float
--- a/libs/direct/src/banyandale_direct/_quarantine.py
+++ b/libs/direct/src/banyandale_direct/_quarantine.py
@@ -720,11 +720,19 @@
         )
         await self._tell.set()
 
-    async def record_answer(self, call: protocols.Call) -> None:
-        """Records that a server has run a call and lives."""
+    def record_response(self, call: protocols.Call) -> None:
+        """Records that a server responds to a call.
+
+        Copies need not wait until its body, which may be a long stream, is
+        complete.
+        """
         self._answered.add(
             fingerprints.compute_fingerprint(call), now=core.boot_seconds()
         )
+
+    async def record_answer(self, call: protocols.Call) -> None:
+        """Records that a server has run a call and lives."""
+        self.record_response(call)
         if len(self._crashes) == 0:
             return
         fingerprint = fingerprints.compute_fingerprint(call)
--- a/libs/direct/src/banyandale_direct/_send_permits.py
+++ b/libs/direct/src/banyandale_direct/_send_permits.py
@@ -277,10 +277,12 @@
     async def _answer_check(
         self, fingerprint: bytes, number: int, ip: str
     ) -> None:
-        if number < self._first_number or number in self._open:
+        if number < self._first_number:
             # Nothing is known of the sends of an earlier process.
             return
         answered = self._answered.contains(fingerprint, now=core.boot_seconds())
+        if number in self._open and not answered:
+            return
         kind = _ENDED_ANSWERED if answered else _ENDED
         await self.send_bytes(ip, _REQUEST.pack(kind, fingerprint, number, 0))
 
--- a/libs/direct/tests/test_send_permits.py
+++ b/libs/direct/tests/test_send_permits.py
@@ -101,6 +101,20 @@
     run_gateways(scenario)
 
 
+def test_a_content_is_free_before_the_whole_answer_is_there():
+    """Guards against copies that wait until a long stream has ended."""
+
+    async def scenario(decider, first, second):
+        await first.ask()
+        assert await second.decide() is BUSY
+        first.answered.add(CONTENT, now=core.boot_seconds())
+        assert await second.decide() is BUSY
+        await curio.sleep(0.02)
+        assert await second.decide() is ANSWERED
+
+    run_gateways(scenario)
+
+
 def test_a_decision_that_comes_too_late_takes_effect():
     async def scenario(decider, first, _):
         decider.answered.add(CONTENT, now=core.boot_seconds())
