direct: silence counts after the end of a call; first sends are reverted

Kept, and put on the earlier code: a call that ended without an answer is followed up. Its servers are asked at the end and once more 0.25 s after the time that the call could have lasted there; a trial keeps its permission meanwhile. Calls that wait for permission ask one after the other; one that too many unexplained breaks keep away is refused at once.

--- a/libs/direct/src/banyandale_direct/_crash_records.py
+++ b/libs/direct/src/banyandale_direct/_crash_records.py
@@ -392,11 +392,6 @@
         self._leases[fingerprint] = holder, until
         return True
 
-    def find_holder(self, fingerprint: bytes) -> str | None:
-        """Returns the holder of the lease of a content."""
-        lease = self._leases.get(fingerprint)
-        return None if lease is None else lease[0]
-
     def release(self, fingerprint: bytes, *, holder: str) -> None:
         """Ends a lease, if it still belongs to the holder."""
         lease = self._leases.get(fingerprint)
--- a/libs/direct/src/banyandale_direct/_forwarding.py
+++ b/libs/direct/src/banyandale_direct/_forwarding.py
@@ -28,9 +28,7 @@
 from banyandale_direct import _quarantine as quarantine
 from banyandale_direct import _registry as registry
 from banyandale_direct import _selection as selection
-from banyandale_direct import _send_permits as send_permits
 from banyandale_direct import _server_health as server_health
-from banyandale_direct import _silence as silence
 import banyandale_http as http
 
 # Additional attempts of a call that ended before anything was sent, because the
@@ -57,7 +55,6 @@
 RUN_KINDS = frozenset(
     {protocols.AnswerKind.SERVED, protocols.AnswerKind.FAILED}
 )
-SUCCESS_STATUSES = range(200, 300)
 # Failures with which the connection to the server ended.
 BROKEN_CODES = frozenset(
     {http.TruncatedResponseError.code, http.SendError.code}
@@ -65,12 +62,12 @@
 # Retry delay of callers whose request crashes servers. Callers that wait this
 # long at most come back after the longest delay that they accept.
 CRASHING_RETRY_AFTER_SECONDS = 60.0
-# Multiple of the time after which a call is overdue for which its permission
-# holds at first, so that few calls must extend it.
-LEASE_OVERDUES = 2
-# A server whose call has ended without an answer is asked once more after this
-# long, and after the time that the call could have lasted there: it may go
-# silent only then.
+# Servers of the same service that are asked when one has gone silent.
+COMPARED_SERVERS = 3
+# Longest time to find out that a server is silent and that others are not.
+SILENCE_CHECK_SECONDS = 2 * channels.REPORT_TIMEOUT_SECONDS
+# A server whose call has ended without an answer is asked at once, and again
+# this long after the time that the call could have lasted there.
 AFTERMATH_SECONDS = 0.25
 # Callers rejected by a stopping gateway can retry elsewhere immediately.
 STOPPING_RETRY_AFTER_SECONDS = 0.0
@@ -238,10 +235,6 @@
             answer_by=self._answer_by,
             can_hand_over=self._can_hand_over,
         )
-        self._silence = silence.SilenceCheck(shared=shared, service=service)
-        # Permission that keeps copies of the call away until it has ended.
-        self._permit = quarantine.UNSUSPECTED
-        self._asked: send_permits.Ask | None = None
         self._events: curio.Queue = curio.Queue()
         self._tried: set[str] = set()
         self._attempts: list[_Attempt] = []
@@ -294,32 +287,27 @@
             await self._conclude()
 
     async def _conclude(self) -> None:
-        """Lets others send the content, once its servers are known to live."""
-        if self._asked is not None:
-            self._shared.quarantine.cancel_ask(self._asked)
-            self._asked = None
-        answered = any(a.kind in RUN_KINDS for a in self._attempts)
+        """Follows up the servers that have not answered the call.
+
+        A call that another server has answered has silenced none.
+        """
+        if any(a.kind in RUN_KINDS for a in self._attempts):
+            for attempt in self._attempts:
+                if attempt.unanswered:
+                    await self._shared.quarantine.release(attempt.permit)
+            return
         unanswered = [
             attempt
             for attempt in self._attempts
-            if attempt.unanswered
-            and attempt.permit.exclusive
-            and not attempt.silenced
+            if attempt.unanswered and not attempt.silenced
         ]
-        if answered or not unanswered:
-            await self._leave()
-        else:
+        if unanswered:
             await curio.spawn(self._watch_aftermath, unanswered, daemon=True)
 
-    async def _leave(self) -> None:
-        """Gives back the permission of this call's first sends."""
-        permit, self._permit = self._permit, quarantine.UNSUSPECTED
-        await self._shared.quarantine.release(permit)
-
     async def _watch_aftermath(self, attempts: list[_Attempt]) -> None:
-        """Records servers that go silent right after the call has ended.
+        """Records servers that went silent right before or after the end.
 
-        A server runs a call for up to the same time from its own send.
+        A server may run the call for the longest time from its own send.
         """
         longest = self._answer_by - self._started_at
         now = time.monotonic()
@@ -333,22 +321,20 @@
                 if not attempt.silenced:
                     await self._check_aftermath(attempt, check_at)
             for attempt in attempts:
-                if attempt.permit.trial:
-                    await self._shared.quarantine.release(attempt.permit)
-            if not any(attempt.silenced for attempt in attempts):
-                await self._leave()
+                await self._shared.quarantine.release(attempt.permit)
         except Exception as error:  # The call itself has ended.
             self._record_fault(error)
 
     async def _check_aftermath(
         self, attempt: _Attempt, check_at: float
     ) -> None:
-        attempt.permit = await self._shared.quarantine.extend(
-            attempt.permit, check_at + silence.CHECK_SECONDS
+        await self._shared.quarantine.extend(
+            attempt.permit,
+            check_at + 2 * SILENCE_CHECK_SECONDS - time.monotonic(),
         )
         await curio.sleep(max(check_at - time.monotonic(), 0.0))
-        if await self._silence.is_silent(attempt.entry, attempt.report):
-            await self._record_silence(attempt)
+        if await self._is_silent(attempt, attempt.entry):
+            await self._record_silence(attempt, attempt.entry.server)
 
     async def abandon(self) -> None:
         """Ends the call because its caller has left."""
@@ -572,26 +558,22 @@
         )
 
     async def _attempt(self, attempt: _Attempt) -> None:
-        quarantined = self._shared.quarantine
-        await quarantined.catch_up()
+        await self._shared.quarantine.catch_up()
         if not self._is_suspect():
-            # Callers do not repeat other calls, so that two of the same content
-            # are two calls of their own.
-            if self._route.repeatable and not self._permit.exclusive:
-                self._asked = await quarantined.ask_first(
-                    self._call, lease_seconds=self._lease_seconds()
-                )
             await self._attempt_permitted(attempt)
             return
-        if not any(a.open and a.sent for a in self._attempts):
-            await self._leave()
+        quarantined = self._shared.quarantine
+        work = self._shared.demands.find(self._route).work_seconds
         permit = await quarantined.acquire(
             self._call,
-            lease_seconds=self._lease_seconds(),
-            deadline=self._latest_start(),
+            lease_seconds=work * server_health.OVERDUE_FACTOR
+            + SILENCE_CHECK_SECONDS,
+            deadline=self._answer_by - work * admission.WORK_MARGIN,
         )
         if permit is None:
-            self._refuse_suspect(attempt)
+            attempt.refusal = quarantined.find_refusal(self._call)
+            attempt.wait_seconds = work
+            attempt.selection_fields = quarantined.describe(self._call)
             return
         attempt.permit = permit
         try:
@@ -601,111 +583,31 @@
             if not attempt.unanswered:
                 await quarantined.release(attempt.permit)
 
-    def _lease_seconds(self) -> float:
-        """Returns for how long one send keeps copies away at first."""
-        work = self._shared.demands.find(self._route).work_seconds
-        return (
-            LEASE_OVERDUES * work * server_health.OVERDUE_FACTOR
-            + silence.CHECK_SECONDS
-        )
-
-    def _latest_start(self) -> float:
-        work = self._shared.demands.find(self._route).work_seconds
-        return self._answer_by - work * admission.WORK_MARGIN
-
-    def _refuse_suspect(self, attempt: _Attempt) -> None:
-        attempt.refusal = self._shared.quarantine.find_refusal(self._call)
-        attempt.wait_seconds = self._shared.demands.find(
-            self._route
-        ).work_seconds
-        attempt.selection_fields = self._shared.quarantine.describe(self._call)
-
-    async def _take_first(self, attempt: _Attempt) -> bool:
-        """Returns whether this call may be sent now, as far as is decided.
-
-        A hedge and a repeat share the permission of the call, and a hedge
-        counts as a break of its own.
-        """
-        if self._asked is not None:
-            asked, self._asked = self._asked, None
-            permit = await self._shared.quarantine.wait_first(asked)
-            if permit is None:
-                return False
-            self._permit = permit
-        if not attempt.permit.trial:
-            attempt.permit = dataclasses.replace(
-                self._permit,
-                order=sum(a.unanswered for a in self._attempts),
-            )
-        return True
-
-    async def _wait_for_copy(self) -> bool:
-        """Waits while a copy of the call is at a server."""
-        held_at = time.monotonic()
-        permit = await self._shared.quarantine.acquire_first(
-            self._call,
-            lease_seconds=self._lease_seconds(),
-            deadline=self._latest_start(),
-        )
-        self._shared.metrics.incr(
-            "first_sends:held" if permit is not None else "first_sends:refused"
-        )
-        self._shared.events.write(
-            "held_back",
-            request=self._call.id,
-            route=self._route.name,
-            content=fingerprints.compute_fingerprint(self._call).hex(),
-            seconds=round(time.monotonic() - held_at, 4),
-            outcome="refused" if permit is None else "sent",
-        )
-        if permit is None:
-            return False
-        self._permit = permit
-        return True
-
     async def _attempt_permitted(self, attempt: _Attempt) -> None:
-        probe = await self._choose_server(attempt)
-        if probe is None:
-            return
-        if not await self._take_first(attempt):
-            await self._shared.channels.release(probe)
-            if not await self._wait_for_copy():
-                self._refuse_suspect(attempt)
-                return
-            probe = await self._choose_server(attempt)
-            if probe is None:
-                return
-            await self._take_first(attempt)
-        if not attempt.permit.trial and self._is_suspect():
-            # A server has ended under the same content in the meantime.
-            attempt.error = "suspected"
-            await self._shared.channels.release(probe)
-            return
-        await self._send_to(attempt, probe)
-
-    async def _choose_server(self, attempt: _Attempt) -> channels.Probe | None:
-        """Chooses a server; None if the attempt has ended without one."""
         tried, first = frozenset(self._tried), len(self._attempts) == 1
         choice = await self._selection.choose(tried=tried, first=first)
         if not self._may_send():
             attempt.refusal = admission.Refusal.STOPPING
             if choice.probe is not None:
                 await self._shared.channels.release(choice.probe)
-            return None
+            return
         if choice.hand_over:
             if await self._hand_over(attempt):
-                return None
+                return
             choice = await self._selection.choose(
                 tried=tried, first=first, direct=True
             )
         attempt.refusal = choice.refusal
         attempt.wait_seconds = choice.wait_seconds
-        if choice.probe is None:
+        probe = choice.probe
+        if probe is None:
             attempt.selection_fields = choice.describe(now=time.monotonic())
-        return choice.probe
-
-    async def _send_to(self, attempt: _Attempt, probe: channels.Probe) -> None:
-        """Sends the call to a server and records what became of it."""
+            return
+        if not attempt.permit.holder and self._is_suspect():
+            # A server has ended under the same content in the meantime.
+            attempt.error = "suspected"
+            await self._shared.channels.release(probe)
+            return
         server = probe.candidate.entry.server
         attempt.server_id = server.id
         attempt.report = probe.candidate.report
@@ -720,7 +622,13 @@
         self._log_placed(probe, sent_at)
         await self._plan_hedge(sent_at)
         attempt.waiting = True
-        watch = await curio.spawn(self._watch_silence, attempt, daemon=True)
+        watch = await curio.spawn(
+            self._watch_silence,
+            attempt,
+            probe.candidate.entry,
+            sent_at,
+            daemon=True,
+        )
         try:
             await self._send(attempt, probe)
         finally:
@@ -731,7 +639,9 @@
         self._record_outcome(attempt, server.id, time.monotonic() - sent_at)
         await self._record_evidence(attempt, server, time.monotonic() - sent_at)
 
-    async def _watch_silence(self, attempt: _Attempt) -> None:
+    async def _watch_silence(
+        self, attempt: _Attempt, entry: registry.Entry, sent_at: float
+    ) -> None:
         """Records that the call has silenced its server, once it has.
 
         The server is asked when the call is overdue, and then less and less
@@ -740,22 +650,24 @@
         try:
             check_at = max(
                 server_health.find_overdue_at(
-                    attempt.sent_at,
-                    expected_seconds=self._expect_seconds(attempt),
+                    sent_at, expected_seconds=self._expect_seconds(attempt)
                 ),
-                attempt.sent_at + channels.REPORT_TIMEOUT_SECONDS,
+                sent_at + channels.REPORT_TIMEOUT_SECONDS,
             )
-            while not await self._check_silence(attempt, check_at):
-                check_at += check_at - attempt.sent_at
+            while not await self._check_silence(attempt, entry, check_at):
+                check_at += check_at - sent_at
         except Exception as error:  # The call itself goes on.
             self._record_fault(error)
 
-    async def _check_silence(self, attempt: _Attempt, check_at: float) -> bool:
+    async def _check_silence(
+        self, attempt: _Attempt, entry: registry.Entry, check_at: float
+    ) -> bool:
         """Asks the server at some time; returns whether that was the last."""
         # Most calls are answered before their permission must be extended.
         await curio.sleep(max(check_at - time.monotonic(), 0.0) / 2)
-        attempt.permit = await self._shared.quarantine.extend(
-            attempt.permit, check_at + silence.CHECK_SECONDS
+        await self._shared.quarantine.extend(
+            attempt.permit,
+            check_at + SILENCE_CHECK_SECONDS - time.monotonic(),
         )
         await curio.sleep(max(check_at - time.monotonic(), 0.0))
         if not attempt.sent:
@@ -763,39 +675,84 @@
             return False
         attempt.checking = True
         try:
-            silenced = await self._silence.is_silent(
-                attempt.entry, attempt.report
-            )
+            silenced = await self._is_silent(attempt, entry)
             if silenced and attempt.kind is None:
-                await self._record_silence(attempt)
+                await self._record_silence(attempt, entry.server)
                 return True
         finally:
             attempt.checking = False
         return not attempt.waiting
 
-    async def _record_silence(self, attempt: _Attempt) -> None:
+    async def _is_silent(
+        self, attempt: _Attempt, entry: registry.Entry
+    ) -> bool:
+        """Returns whether the call may have silenced its server."""
+        reports = await self._reports(entry)
+        return crash_records.has_silenced(
+            reported_before=attempt.report is not None,
+            reports=reports,
+            others_report=not reports
+            and await self._others_report(entry.server),
+        )
+
+    async def _record_silence(
+        self, attempt: _Attempt, server: registry.Server
+    ) -> None:
         """Records that the call has silenced its server, and hedges it."""
         if attempt.silenced:
             return
         permit = attempt.permit
         # It is held from here on, even if the call waits for much longer.
-        attempt.permit = dataclasses.replace(permit, number=0)
+        attempt.permit = dataclasses.replace(permit, holder="")
         attempt.silenced = True
-        if not permit.trial and not any(
-            a.unanswered and not a.silenced for a in self._attempts
-        ):
-            self._permit = quarantine.UNSUSPECTED
         await self._shared.quarantine.record_silence(
             self._call,
-            attempt.entry.server,
+            server,
             permit=permit,
             sent_at=attempt.sent_at,
             waiting=attempt.waiting,
         )
-        if not permit.trial and len(self._attempts) == 1 and not self._ended:
+        if self._ended:
+            return
+        if not permit.holder and len(self._attempts) == 1:
             self._hedge_at = time.monotonic()
             await self._events.put(_WakeReason.HEDGE_PLANNED)
 
+    async def _reports(self, entry: registry.Entry) -> bool:
+        """Returns whether a server reports to this gateway now."""
+        probe = await self._shared.channels.probe(
+            entry,
+            self._service,
+            local=False,
+            avoided=False,
+            deadline=time.monotonic() + channels.REPORT_TIMEOUT_SECONDS,
+        )
+        await self._shared.channels.release(probe)
+        report = probe.candidate.report
+        return report is not None and (
+            report.server_id in ("", entry.server.id)
+        )
+
+    async def _others_report(self, server: registry.Server) -> bool:
+        """Returns whether another server of the service reports now."""
+        now = time.monotonic()
+        others = {
+            entry.server.id: entry
+            for entry in self._shared.registry.find(self._service.name, now=now)
+            if entry.server.id != server.id
+        }
+        for server_id in self._shared.paths.list_unreached(
+            self._service.name, others, now=now
+        ):
+            del others[server_id]
+        asked = self._shared.random.sample(
+            list(others.values()), min(len(others), COMPARED_SERVERS)
+        )
+        async with curio.TaskGroup() as group:
+            for entry in asked:
+                await group.spawn(self._reports, entry)
+        return any(group.results)
+
     async def _record_evidence(
         self, attempt: _Attempt, server: registry.Server, seconds: float
     ) -> None:
@@ -845,10 +802,6 @@
         if receiver is None:
             return False
         # The receiver asks for permission itself.
-        if self._asked is not None:
-            self._shared.quarantine.cancel_ask(self._asked)
-            self._asked = None
-        await self._leave()
         await self._shared.quarantine.release(attempt.permit)
         attempt.permit = quarantine.UNSUSPECTED
         attempt.server_id = receiver.ip
@@ -948,7 +901,7 @@
     async def _plan_hedge(self, sent_at: float) -> None:
         if len(self._attempts) > 1 or not self._route.repeatable:
             return
-        if self._attempts[0].permit.trial:
+        if self._attempts[0].permit.holder:
             return
         demand = self._shared.demands.find(self._route)
         self._hedge_at = hedging.hedge_at(
@@ -1106,10 +1059,7 @@
             )
 
     def _is_own(self, head: http.ResponseHead) -> bool:
-        matches = self._shared.codec.matches_call(self._call, head)
-        if matches and head.status in SUCCESS_STATUSES:
-            self._shared.quarantine.record_response(self._call)
-        return matches
+        return self._shared.codec.matches_call(self._call, head)
 
     def _record_outcome(
         self, attempt: _Attempt, server_id: str, seconds: float
--- a/libs/direct/src/banyandale_direct/_gateway.py
+++ b/libs/direct/src/banyandale_direct/_gateway.py
@@ -100,7 +100,6 @@
             codec=adapter.servers,
             find_service=self._find_service,
             peer_port=peer_port,
-            permit_port=http.parse_address(loaded.handover_address)[1],
             reads_store=self._reads_store,
             events=events,
             metrics=metrics,
@@ -280,7 +279,6 @@
         await self._spawn("following", self._replicator.run)
         await self._spawn("registration", self._registration.run)
         await self._spawn("paths", self._path_checker.run)
-        await self._spawn("send permits", self._quarantine.receive_permits)
         await self._spawn("quarantine", self._quarantine.run)
         await self._spawn("quarantine messages", self._quarantine.tell)
         await self._spawn("housekeeping", self._run_housekeeping)
--- a/libs/direct/src/banyandale_direct/_quarantine.py
+++ b/libs/direct/src/banyandale_direct/_quarantine.py
@@ -20,14 +20,12 @@
 from banyandale_direct import _crash_records as crash_records
 from banyandale_direct import _digests as digests
 from banyandale_direct import _fingerprints as fingerprints
-from banyandale_direct import _first_sends as first_sends
 from banyandale_direct import _gossip as gossip
 from banyandale_direct import _members as members
 from banyandale_direct import _protocols as protocols
 from banyandale_direct import _registry as registry
 from banyandale_direct import _rejections as rejections
 from banyandale_direct import _rendezvous as rendezvous
-from banyandale_direct import _send_permits as send_permits
 from banyandale_direct import _turns as turns
 import banyandale_http as http
 import banyandale_platform as platform
@@ -47,9 +45,13 @@
 MAX_ANSWER_BYTES = 65536
 # Interval between requests for permission while another send is in progress.
 RETRY_SECONDS = 0.03
+# Number of gateways that are asked, the first reachable one decides.
+DECIDING_GATEWAYS = 2
 # After a trial that broke its connection, the next one waits this long, or
 # until the server is known to have ended.
 HOLD_SECONDS = 1.5
+# Longest lease. A trial that takes longer has not crashed its server quickly.
+MAX_LEASE_SECONDS = 10.0
 # Longest wait for the other gateways' records after a suspension.
 CATCH_UP_SECONDS = 0.6
 # Shortest interval between two messages to the zone.
@@ -80,26 +82,16 @@
     """Permission to send a call now.
 
     Attributes:
-        fingerprint: Content of the call; empty if it needs no permission.
+        fingerprint: Content of the call; empty if nothing speaks against it.
         order: Number of breaks in a row that are known of it.
-        number: Number of the send at this gateway; 0 without a permission
-            that others wait for.
+        holder: Identifies the send of a suspect; empty for others.
         decider: IP address of the gateway that gave the permission.
-        trial: Whether the content is a suspect.
-        until: When other sends may begin, in monotonic seconds.
     """
 
     fingerprint: bytes = b""
     order: int = 0
-    number: int = 0
+    holder: str = ""
     decider: str = ""
-    trial: bool = False
-    until: float = 0.0
-
-    @property
-    def exclusive(self) -> bool:
-        """Whether other sends of the content wait for this one."""
-        return self.number != 0
 
 
 UNSUSPECTED = Permit()
@@ -131,7 +123,6 @@
         codec: protocols.ServerCodec,
         find_service: Callable[[str], configuration.Service | None],
         peer_port: int,
-        permit_port: int,
         reads_store: Callable[[], bool],
         events: core.EventLog,
         metrics: core.Metrics,
@@ -147,8 +138,6 @@
             codec: Format of the servers' reports.
             find_service: Returns a service in the configuration in force.
             peer_port: TCP port at which other gateways decide.
-            permit_port: UDP port of the gateways for questions whether a
-                content may be sent.
             reads_store: Returns whether this gateway reads the store.
             events: Log of the process.
             metrics: Counters of the process.
@@ -165,22 +154,7 @@
         self._events = events
         self._metrics = metrics
         self._rejections = rejections.Rejections(events=events, metrics=metrics)
-        self._answered = first_sends.RecentContents()
-        self._decider = first_sends.Decider(
-            crashes=crashes,
-            leases=crash_records.TrialLeases(),
-            answered=self._answered,
-        )
-        self._permits = send_permits.SendPermits(
-            own_ip=table.own.ip,
-            port=permit_port,
-            list_deciders=self._list_deciders,
-            decider=self._decider,
-            answered=self._answered,
-            events=events,
-            metrics=metrics,
-        )
-        self._turns = turns.Turns()
+        self._leases = crash_records.TrialLeases()
         self._breaks = crash_records.BreakWindow()
         self._unexplained: collections.deque[_Break] = collections.deque(
             maxlen=MAX_UNEXPLAINED
@@ -191,6 +165,8 @@
         self._stored: dict[bytes, tuple[int, float]] = {}
         # Records in the store that no longer hold.
         self._to_delete: set[bytes] = set()
+        self._sends = 0
+        self._turns = turns.Turns()
         self._tell = curio.Event()
         self.gossip: gossip.Gossip | None = None
 
@@ -247,18 +223,16 @@
     async def _acquire_in_turn(
         self, fingerprint: bytes, lease_seconds: float, deadline: float
     ) -> Permit | None:
-        number = self._permits.draw_number()
         while True:
-            record = self._crashes.find(fingerprint)
             suspicion = self._crashes.suspicion(fingerprint)
             if suspicion is crash_records.Suspicion.NONE:
                 return UNSUSPECTED
             if suspicion is crash_records.Suspicion.CERTAIN:
                 self._crashes.renew(fingerprint, now=core.boot_seconds())
                 return None
-            if record.is_unexplained:
+            if self._crashes.find(fingerprint).is_unexplained:
                 return None
-            permit = await self._ask(fingerprint, number, lease_seconds)
+            permit = await self._ask(fingerprint, lease_seconds)
             if permit is not None:
                 # The decider's records have come with its answer.
                 record = self._crashes.find(fingerprint)
@@ -271,101 +245,6 @@
                 return None
             await curio.sleep(RETRY_SECONDS)
 
-    async def ask_first(
-        self,
-        call: protocols.Call,
-        *,
-        lease_seconds: float,
-        wait_seconds: float = send_permits.DECISION_SECONDS,
-    ) -> send_permits.Ask | None:
-        """Asks whether a call is the only one of its content in progress.
-
-        Args:
-            call: The call, which is no suspect.
-            lease_seconds: Time after which another send of the same content
-                may begin, if this one has not ended.
-            wait_seconds: Longest wait for the decision.
-
-        Returns:
-            The question for `wait_first`, or None if the content was answered
-            lately, so that it needs no permission.
-        """
-        fingerprint = fingerprints.compute_fingerprint(call)
-        if self._answered.contains(fingerprint, now=core.boot_seconds()):
-            return None
-        return await self._permits.ask(
-            fingerprint,
-            number=self._permits.draw_number(),
-            lease_seconds=lease_seconds,
-            wait_seconds=wait_seconds,
-        )
-
-    async def wait_first(self, asked: send_permits.Ask) -> Permit | None:
-        """Returns the permission asked for; None if another send has it.
-
-        A gateway that does not answer is replaced by the next one. Without any
-        decision the call is sent: no evidence speaks against it.
-        """
-        decision = await self._permits.wait(asked)
-        if decision is None:
-            asked = await self._permits.ask(
-                asked.fingerprint,
-                number=asked.number,
-                lease_seconds=asked.lease_until - time.monotonic(),
-            )
-            decision = await self._permits.wait(asked)
-        if decision is first_sends.Decision.BUSY:
-            self.cancel_ask(asked)
-            return None
-        if decision is first_sends.Decision.ANSWERED:
-            return UNSUSPECTED
-        return Permit(
-            fingerprint=asked.fingerprint,
-            number=asked.number,
-            decider=asked.ip,
-            until=asked.lease_until,
-        )
-
-    async def acquire_first(
-        self, call: protocols.Call, *, lease_seconds: float, deadline: float
-    ) -> Permit | None:
-        """Waits until no other call of the same content is in progress.
-
-        Args:
-            call: The call.
-            lease_seconds: As for `ask_first`.
-            deadline: Monotonic seconds until when to wait.
-
-        Returns:
-            The permission, or None if there was none in time.
-        """
-        fingerprint = fingerprints.compute_fingerprint(call)
-        if not await self._turns.take(fingerprint, deadline=deadline):
-            return None
-        try:
-            while self.suspicion(call) is crash_records.Suspicion.NONE:
-                asked = await self.ask_first(
-                    call,
-                    lease_seconds=lease_seconds,
-                    wait_seconds=send_permits.REPEATED_DECISION_SECONDS,
-                )
-                if asked is None:
-                    return UNSUSPECTED
-                permit = await self.wait_first(asked)
-                if permit is not None:
-                    return permit
-                if time.monotonic() + RETRY_SECONDS >= deadline:
-                    return None
-                await curio.sleep(RETRY_SECONDS)
-            # The caller of this method sees the new evidence.
-            return UNSUSPECTED
-        finally:
-            await self._turns.end(fingerprint)
-
-    async def receive_permits(self) -> None:
-        """Receives questions and decisions in an endless loop."""
-        await self._permits.receive()
-
     async def catch_up(self) -> None:
         """Waits for other gateways' records after this one was suspended.
 
@@ -382,30 +261,13 @@
             await curio.sleep(LOAD_CHECK_SECONDS)
 
     async def _ask(
-        self, fingerprint: bytes, number: int, lease_seconds: float
+        self, fingerprint: bytes, lease_seconds: float
     ) -> Permit | None:
-        """Asks for permission to send a suspect; None if another has it."""
-        asked = await self._permits.ask(
-            fingerprint,
-            number=number,
-            lease_seconds=lease_seconds,
-            trial=True,
-            wait_seconds=send_permits.REPEATED_DECISION_SECONDS,
-        )
-        if await self._permits.wait(asked) is first_sends.Decision.BUSY:
-            self._metrics.incr("trials:busy")
-            return None
-        # The decider's records come with the second answer.
-        for ip in self._list_deciders(fingerprint)[
-            : send_permits.DECIDING_GATEWAYS
-        ]:
-            permit = Permit(
-                fingerprint=fingerprint,
-                number=number,
-                decider=ip,
-                trial=True,
-                until=time.monotonic() + lease_seconds,
-            )
+        self._sends += 1
+        holder = f"{self._table.own.ip}-{self._sends}"
+        lease_seconds = min(lease_seconds, MAX_LEASE_SECONDS)
+        for ip in self._list_deciders(fingerprint)[:DECIDING_GATEWAYS]:
+            permit = Permit(fingerprint=fingerprint, holder=holder, decider=ip)
             granted = await self._ask_decider(permit, lease_seconds)
             if granted is None:
                 continue
@@ -418,12 +280,10 @@
         self, permit: Permit, lease_seconds: float
     ) -> bool | None:
         """Asks for or extends a lease; None without an answer."""
-        lease_seconds = min(lease_seconds, send_permits.MAX_LEASE_SECONDS)
-        holder = self._permits.name_holder(permit.number)
         if permit.decider == self._table.own.ip:
-            return self._grant(permit.fingerprint, holder, lease_seconds)
+            return self._grant(permit.fingerprint, permit.holder, lease_seconds)
         return await self._ask_remote(
-            permit.decider, permit.fingerprint, holder, lease_seconds
+            permit.decider, permit.fingerprint, permit.holder, lease_seconds
         )
 
     def _list_deciders(self, fingerprint: bytes) -> list[str]:
@@ -437,24 +297,16 @@
         live.sort(key=lambda ip: rendezvous.weigh(ip, name), reverse=True)
         return live
 
-    def _find_decider(self, fingerprint: bytes) -> str:
-        return self._list_deciders(fingerprint)[0]
-
     def _decides(self, fingerprint: bytes) -> bool:
-        return self._find_decider(fingerprint) == self._table.own.ip
+        return self._list_deciders(fingerprint)[0] == self._table.own.ip
 
     def _grant(
         self, fingerprint: bytes, holder: str, lease_seconds: float
     ) -> bool:
         now = core.boot_seconds()
-        decision = self._decider.decide(
-            fingerprint,
-            holder=holder,
-            until=now + lease_seconds,
-            now=now,
-            trial=True,
+        return self._leases.try_grant(
+            fingerprint, holder=holder, until=now + lease_seconds, now=now
         )
-        return decision is first_sends.Decision.GRANTED
 
     async def _ask_remote(
         self, ip: str, fingerprint: bytes, holder: str, lease_seconds: float
@@ -494,24 +346,21 @@
             await connection.close()
 
     async def release(self, permit: Permit) -> None:
-        """Ends a send, after its outcome was recorded."""
-        if not permit.exclusive:
+        """Ends the send of a suspect, after its outcome was recorded."""
+        if not permit.holder:
             return
         if permit.fingerprint in self._unexplained_trials:
             self._unexplained_trials.discard(permit.fingerprint)
             await self._ask_decider(permit, HOLD_SECONDS)
             return
-        self._permits.end(
-            permit.fingerprint, number=permit.number, ip=permit.decider
-        )
-        if not permit.trial or permit.decider == self._table.own.ip:
+        if permit.decider == self._table.own.ip:
+            self._leases.release(permit.fingerprint, holder=permit.holder)
             return
-        holder = self._permits.name_holder(permit.number)
         try:
             await self._exchange(
                 permit.decider,
                 b"DELETE",
-                f"{permit.fingerprint.hex()}/{holder}",
+                f"{permit.fingerprint.hex()}/{permit.holder}",
                 self.gossip.encode_records(),
             )
         except http.HttpError as error:
@@ -520,10 +369,6 @@
                 "trial_unasked", ip=permit.decider, error=str(error)
             )
 
-    def cancel_ask(self, asked: send_permits.Ask) -> None:
-        """Takes back a question whose decision nobody waits for."""
-        self._permits.end(asked.fingerprint, number=asked.number, ip=asked.ip)
-
     def serve(self, request: http.Request) -> http.Response:
         """Decides about another gateway's send of a suspect."""
         path = request.target.decode("latin-1").removeprefix(TRIAL_PATH)
@@ -532,20 +377,13 @@
             fingerprint = bytes.fromhex(name)
             if request.method == b"DELETE":
                 self.gossip.merge_records(request.body)
-                self._decider.release(
-                    fingerprint,
-                    holder=holder,
-                    answered=False,
-                    now=core.boot_seconds(),
-                )
+                self._leases.release(fingerprint, holder=holder)
                 return http.Response(status=NO_CONTENT_STATUS)
             seconds = int(lease_ms[0]) / core.MILLISECONDS_PER_SECOND
         except (ValueError, IndexError, OverflowError):
             return http.Response(status=NOT_FOUND_STATUS)
         granted = self._grant(
-            fingerprint,
-            holder,
-            min(seconds, send_permits.MAX_LEASE_SECONDS),
+            fingerprint, holder, min(seconds, MAX_LEASE_SECONDS)
         )
         return http.Response(
             status=OK_STATUS if granted else BUSY_STATUS,
@@ -594,7 +432,7 @@
             self._unexplained.append(
                 _Break(fingerprint=fingerprint, crash=crash)
             )
-            if permit.trial and not answers:
+            if permit.holder and not answers:
                 self._unexplained_trials.add(fingerprint)
 
     async def record_silence(
@@ -641,29 +479,12 @@
         self._unexplained.append(_Break(fingerprint=fingerprint, crash=crash))
         # Another break in a row changes no count yet.
         await self._tell.set()
-        if permit.exclusive:
-            await self._ask_decider(permit, HOLD_SECONDS)
-
-    async def extend(self, permit: Permit, until: float) -> Permit:
-        """Keeps other sends of a content away until then.
+        await self.extend(permit, HOLD_SECONDS)
 
-        Args:
-            permit: Permission with which it was sent.
-            until: Monotonic seconds.
-
-        Returns:
-            The permission that holds now.
-        """
-        seconds = until - time.monotonic()
-        if not permit.exclusive or permit.until >= until or seconds <= 0:
-            return permit
-        await self._permits.ask(
-            permit.fingerprint,
-            number=permit.number,
-            lease_seconds=seconds,
-            trial=True,
-        )
-        return dataclasses.replace(permit, until=until)
+    async def extend(self, permit: Permit, seconds: float) -> None:
+        """Keeps other sends of a suspect away for some time from now."""
+        if permit.holder:
+            await self._ask_decider(permit, min(seconds, MAX_LEASE_SECONDS))
 
     async def _has_ended(self, server: registry.Server) -> bool | None:
         """Returns whether a server has ended; None if that is not known.
@@ -720,19 +541,8 @@
         )
         await self._tell.set()
 
-    def record_response(self, call: protocols.Call) -> None:
-        """Records that a server responds to a call.
-
-        Copies need not wait until its body, which may be a long stream, is
-        complete.
-        """
-        self._answered.add(
-            fingerprints.compute_fingerprint(call), now=core.boot_seconds()
-        )
-
     async def record_answer(self, call: protocols.Call) -> None:
         """Records that a server has run a call and lives."""
-        self.record_response(call)
         if len(self._crashes) == 0:
             return
         fingerprint = fingerprints.compute_fingerprint(call)
--- a/libs/http/src/banyandale_http/_client.py
+++ b/libs/http/src/banyandale_http/_client.py
@@ -195,8 +195,7 @@
 
         Args:
             request: The request.
-            matches: Returns whether a response may belong to the request;
-                called before its body is read.
+            matches: Returns whether a response may belong to the request.
             limit: Largest body in bytes.
             deadline: Monotonic seconds for the whole exchange.
             reserve: Called with the size of each received part of a body;
@@ -255,11 +254,10 @@
     ) -> messages.Response:
         for _ in range(MAX_UNMATCHED_RESPONSES + 1):
             head = await self.read_head(deadline=deadline)
-            matched = matches(head)
             body = await self.read_body(
                 limit=limit, deadline=deadline, reserve=reserve
             )
-            if matched:
+            if matches(head):
                 return messages.Response(
                     status=head.status, headers=head.headers, body=body
                 )
